Add the design page, the modules and the build

Sets up the eight Maven modules, the formatter, the linter, the committed protobuf messages between daemons, the duty thread with its bounded ring, and the frame of the benchmarks.

--- /dev/null
+++ b/bench/src/main/java/org/heatherreach/bench/BenchMain.java
@@ -0,0 +1,77 @@
+package org.heatherreach.bench;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+
+/** Entry point of {@code bench}. Confined to the main thread. */
+public final class BenchMain {
+    private static final List<Benchmark> BENCHMARKS = List.of();
+
+    @Parameter(names = "--seed", description = "Seed of every random choice")
+    private long seed = 1;
+
+    @Parameter(names = "--only", description = "Names of the benchmarks to run; all by default")
+    private List<String> only = new ArrayList<>();
+
+    @Parameter(names = "--out", description = "Directory for results.json and summary.txt")
+    private String outputDirectory = "build-results";
+
+    @Parameter(names = "--list", description = "List the benchmarks and exit")
+    private boolean list;
+
+    @Parameter(names = "--help", help = true, description = "Show this help")
+    private boolean help;
+
+    private BenchMain() {}
+
+    /** Runs the program; exits with 2 on bad arguments and with 1 if a benchmark failed. */
+    public static void main(String[] args) {
+        BenchMain program = new BenchMain();
+        JCommander commander =
+                JCommander.newBuilder().addObject(program).programName("bench").build();
+        try {
+            commander.parse(args);
+        } catch (ParameterException e) {
+            System.err.println("bench: " + e.getMessage());
+            System.exit(2);
+        }
+        if (program.help) {
+            commander.usage();
+            return;
+        }
+        System.exit(program.run());
+    }
+
+    private int run() {
+        if (list) {
+            BENCHMARKS.forEach(benchmark -> System.out.println(benchmark.name() + ": " + benchmark.description()));
+            return 0;
+        }
+        for (String name : only) {
+            if (BENCHMARKS.stream().noneMatch(benchmark -> benchmark.name().equals(name))) {
+                System.err.println("bench: no benchmark is named " + name + "; see --list");
+                return 2;
+            }
+        }
+        BenchReport report = new BenchReport(seed);
+        try {
+            for (Benchmark benchmark : BENCHMARKS) {
+                if (only.isEmpty() || only.contains(benchmark.name())) {
+                    report.begin(benchmark.name());
+                    benchmark.run(seed, report);
+                }
+            }
+            report.write(Path.of(outputDirectory));
+        } catch (BenchException e) {
+            System.err.println("bench: " + e.getMessage());
+            return 1;
+        }
+        System.out.print(report.summary());
+        return 0;
+    }
+}
--- /dev/null
+++ b/transport/src/test/java/org/heatherreach/transport/ring/DutyThreadTest.java
@@ -0,0 +1,51 @@
+package org.heatherreach.transport.ring;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import net.jqwik.api.Example;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class DutyThreadTest {
+    // Guards against events that are dropped without a trace when the ring is full.
+    @Example
+    void countsEventsThatAFullRingRefuses() throws InterruptedException {
+        CountDownLatch release = new CountDownLatch(1);
+        CountDownLatch handled = new CountDownLatch(1);
+        List<Integer> seen = new ArrayList<>();
+        try (DutyThread<Integer> duty = new DutyThread<>(
+                "duty-test",
+                4,
+                event -> {
+                    await(release);
+                    seen.add(event);
+                    handled.countDown();
+                },
+                nowNanos -> {},
+                TimeUnit.MINUTES.toNanos(1))) {
+            int accepted = 0;
+            for (int i = 0; i < 10; i++) {
+                if (duty.offer(i)) {
+                    accepted++;
+                }
+            }
+            assertThat(accepted).isEqualTo(4);
+            assertThat(duty.refusedEvents()).isEqualTo(6);
+            release.countDown();
+            duty.start();
+            handled.await();
+        }
+        assertThat(seen).containsExactly(0, 1, 2, 3);
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
