Add links between daemons over TCP and UDP

Frames carry the sender, the receiver and a correlation id, so that a response reaches only its own request and a process at a reused address refuses frames that were meant for its predecessor. Each kind of failure has a counter.

--- /dev/null
+++ b/transport/src/main/java/org/heatherreach/transport/peer/PacketSocket.java
@@ -0,0 +1,110 @@
+package org.heatherreach.transport.peer;
+
+import java.net.InetSocketAddress;
+import java.util.Objects;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import org.heatherreach.protocol.peer.wire.MemberPacket;
+
+/**
+ * Sends and receives membership packets over UDP.
+ *
+ * <p>Invariant: a packet larger than 1,200 bytes is never sent, so that it is not fragmented; a malformed packet is
+ * counted and dropped.
+ *
+ * <p>Thread safety: safe for use by any thread.
+ */
+public final class PacketSocket implements AutoCloseable {
+    /** Fits the smallest path MTU in common use together with its headers. */
+    public static final int PACKET_LIMIT_BYTES = 1200;
+
+    private final EventLoopGroup group;
+    private final PeerCounters counters;
+    private volatile Channel channel;
+
+    /** Creates a socket. The group stays open when the socket is closed. */
+    public PacketSocket(EventLoopGroup group, PeerCounters counters) {
+        this.group = Objects.requireNonNull(group, "group");
+        this.counters = Objects.requireNonNull(counters, "counters");
+    }
+
+    /**
+     * Opens the socket.
+     *
+     * @return the bound address
+     * @throws IllegalStateException if the address can't be bound
+     */
+    public InetSocketAddress bind(String host, int port, PacketHandler handler) {
+        ChannelFuture future = new Bootstrap()
+                .group(group)
+                .channel(NioDatagramChannel.class)
+                .handler(new InboundHandler(handler))
+                .bind(host, port)
+                .awaitUninterruptibly();
+        if (!future.isSuccess()) {
+            throw new IllegalStateException("cannot open " + host + ':' + port + " for packets", future.cause());
+        }
+        channel = future.channel();
+        return (InetSocketAddress) channel.localAddress();
+    }
+
+    /**
+     * Sends a packet; it may be lost.
+     *
+     * @throws IllegalArgumentException if the packet is larger than the limit
+     */
+    public void send(MemberPacket packet, InetSocketAddress to) {
+        byte[] bytes = packet.toByteArray();
+        if (bytes.length > PACKET_LIMIT_BYTES) {
+            throw new IllegalArgumentException("packet of " + bytes.length + " bytes is over the limit");
+        }
+        counters.countSent(bytes.length);
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to));
+    }
+
+    /** Closes the socket. */
+    @Override
+    public void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    private final class InboundHandler extends SimpleChannelInboundHandler<DatagramPacket> {
+        private final PacketHandler handler;
+
+        InboundHandler(PacketHandler handler) {
+            this.handler = handler;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket datagram) {
+            byte[] bytes = ByteBufUtil.getBytes(datagram.content());
+            counters.countReceived(bytes.length);
+            MemberPacket packet;
+            try {
+                packet = MemberPacket.parseFrom(bytes);
+            } catch (InvalidProtocolBufferException e) {
+                counters.countMalformedPacket();
+                return;
+            }
+            handler.receive(packet, datagram.sender());
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            // A port unreachable message for an earlier datagram must not close the socket.
+            counters.countMalformedPacket();
+        }
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/heatherreach/transport/peer/PeerException.java
@@ -0,0 +1,19 @@
+package org.heatherreach.transport.peer;
+
+/** Thrown when a request to a peer has no response. Immutable. */
+public final class PeerException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    private final PeerFailure failure;
+
+    /** Creates an exception for a failure of the named peer. */
+    public PeerException(PeerFailure failure, PeerAddress peer) {
+        super(failure.label() + ": " + peer.host() + ':' + peer.port() + " incarnation " + peer.incarnation());
+        this.failure = failure;
+    }
+
+    /** Returns the kind of failure. */
+    public PeerFailure failure() {
+        return failure;
+    }
+}
