--- a/bench/src/main/java/org/heatherreach/bench/BenchMain.java
+++ b/bench/src/main/java/org/heatherreach/bench/BenchMain.java
@@ -24,6 +24,9 @@
     @Parameter(names = "--list", description = "List the benchmarks and exit")
     private boolean list;
 
+    @Parameter(names = "--plots", description = "Write one SVG bar chart for each metric", arity = 1)
+    private boolean plots = true;
+
     @Parameter(names = "--help", help = true, description = "Show this help")
     private boolean help;
 
@@ -67,6 +70,9 @@
                 }
             }
             report.write(Path.of(outputDirectory));
+            if (plots) {
+                new BenchPlot(report.rows()).write(Path.of(outputDirectory));
+            }
         } catch (BenchException e) {
             System.err.println("bench: " + e.getMessage());
             return 1;
