--- /dev/null
+++ b/coordination/src/main/java/org/heatherreach/coordination/rank/DeadlineQueue.java
@@ -0,0 +1,81 @@
+package org.heatherreach.coordination.rank;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.TreeMap;
+
+/**
+ * The queue of one rank, ordered by deadline and then by arrival. Confined to one thread.
+ *
+ * @param <T> the queued element
+ */
+public final class DeadlineQueue<T> {
+    private final TreeMap<Key, T> elements = new TreeMap<>();
+    private long nextOrder;
+
+    /**
+     * Identifies a queued element.
+     *
+     * @param deadlineNanos the deadline of the element
+     * @param order the arrival order among equal deadlines
+     */
+    public record Key(long deadlineNanos, long order) implements Comparable<Key> {
+        /** Orders by deadline and then by arrival. */
+        @Override
+        public int compareTo(Key other) {
+            int byDeadline = Long.compare(deadlineNanos - other.deadlineNanos, 0);
+            return byDeadline != 0 ? byDeadline : Long.compare(order, other.order);
+        }
+    }
+
+    /** Adds an element and returns the key to remove it by. */
+    public Key add(T element, long deadlineNanos) {
+        Key key = new Key(deadlineNanos, nextOrder++);
+        elements.put(key, element);
+        return key;
+    }
+
+    /** Removes an element; does nothing if it is not queued. */
+    public void remove(Key key) {
+        elements.remove(key);
+    }
+
+    /** Returns the element with the earliest deadline, or null if the queue is empty. */
+    public T first() {
+        return elements.isEmpty() ? null : elements.firstEntry().getValue();
+    }
+
+    /** Returns the elements by deadline, as a read-only view. */
+    public Collection<T> elements() {
+        return Collections.unmodifiableCollection(elements.values());
+    }
+
+    /** Returns the number of queued elements. */
+    public int size() {
+        return elements.size();
+    }
+
+    /** Returns whether the queue is empty. */
+    public boolean isEmpty() {
+        return elements.isEmpty();
+    }
+
+    /**
+     * Estimates how many elements have an earlier deadline. Deadlines are assumed to be spread evenly between the first
+     * and the last one, because a refusal must not cost a walk of the queue.
+     */
+    public int estimateAheadOf(long deadlineNanos) {
+        if (elements.isEmpty()) {
+            return 0;
+        }
+        long firstNanos = elements.firstKey().deadlineNanos();
+        long lastNanos = elements.lastKey().deadlineNanos();
+        if (deadlineNanos - lastNanos >= 0) {
+            return elements.size();
+        }
+        if (deadlineNanos - firstNanos < 0) {
+            return 0;
+        }
+        return (int) ((double) (deadlineNanos - firstNanos) / (lastNanos - firstNanos) * elements.size());
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/heatherreach/coordination/rank/RankShares.java
@@ -0,0 +1,75 @@
+package org.heatherreach.coordination.rank;
+
+import java.util.Map;
+
+import org.heatherreach.state.rank.Rank;
+import org.heatherreach.state.table.RankLimits;
+
+/**
+ * Divides the slots of a service between ranks: each rank with recent arrivals has its guarantee reserved, and the rest
+ * goes to the most urgent rank that needs it. Immutable and safe for use by any thread.
+ */
+public final class RankShares {
+    private static final Rank[] RANKS = Rank.values();
+
+    private final double[] allowed = new double[RANKS.length];
+    private final double[] ceiling = new double[RANKS.length];
+    private final boolean[] limited = new boolean[RANKS.length];
+    private final boolean congested;
+
+    /**
+     * Computes the shares. Guarantees that sum to more than all slots are reduced in proportion.
+     *
+     * @param slots the slots of the service
+     * @param needed the running and queued requests by rank
+     * @param active whether the rank has recent arrivals, by rank
+     * @param rankLimits the guarantees
+     */
+    public RankShares(int slots, int[] needed, boolean[] active, Map<Rank, RankLimits> rankLimits) {
+        double[] reserved = new double[RANKS.length];
+        double percentSum = 0;
+        for (Rank rank : RANKS) {
+            percentSum += rankLimits.get(rank).guaranteePercent();
+        }
+        double reservedSum = 0;
+        double wanted = 0;
+        for (Rank rank : RANKS) {
+            int index = rank.ordinal();
+            if (active[index] || needed[index] > 0) {
+                reserved[index] = slots * rankLimits.get(rank).guaranteePercent() / Math.max(100, percentSum);
+            }
+            reservedSum += reserved[index];
+            wanted += Math.max(reserved[index], needed[index]);
+        }
+        congested = wanted > slots;
+        double spare = Math.max(0, slots - reservedSum);
+        for (Rank rank : RANKS) {
+            int index = rank.ordinal();
+            ceiling[index] = slots - reservedSum + reserved[index];
+            double extra = Math.min(spare, Math.max(0, needed[index] - reserved[index]));
+            spare -= extra;
+            allowed[index] = reserved[index] + extra;
+            limited[index] = congested && needed[index] > allowed[index];
+        }
+    }
+
+    /** Returns whether the needs and the guarantees can't all be met at once. */
+    public boolean isCongested() {
+        return congested;
+    }
+
+    /** Returns whether the rank needs more than it may use. */
+    public boolean isLimited(Rank rank) {
+        return limited[rank.ordinal()];
+    }
+
+    /** Returns how many slots the rank may use while other ranks need theirs. */
+    public double allowedSlots(Rank rank) {
+        return allowed[rank.ordinal()];
+    }
+
+    /** Returns how many slots the rank may use so that the guarantees of the other ranks can be met at once. */
+    public double ceilingSlots(Rank rank) {
+        return ceiling[rank.ordinal()];
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/SlotHolding.java
@@ -0,0 +1,27 @@
+package org.heatherreach.coordination.slot;
+
+import java.util.Objects;
+
+import org.heatherreach.state.id.ServerId;
+
+/**
+ * What a daemon holds and uses of one server. A use above the holding is work that outlives a recalled lease.
+ * Immutable and safe for use by any thread.
+ *
+ * @param server the server
+ * @param held the number of leased slots
+ * @param inUse the number of running requests
+ */
+public record SlotHolding(ServerId server, int held, int inUse) {
+    /**
+     * Creates a holding.
+     *
+     * @throws IllegalArgumentException if a count is negative
+     */
+    public SlotHolding {
+        Objects.requireNonNull(server, "server");
+        if (held < 0 || inUse < 0) {
+            throw new IllegalArgumentException("held and inUse must not be negative");
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/SlotPool.java
@@ -0,0 +1,58 @@
+package org.heatherreach.coordination.slot;
+
+import java.util.List;
+import java.util.Map;
+
+import org.heatherreach.state.id.IncarnationId;
+import org.heatherreach.state.id.RequestId;
+import org.heatherreach.state.outcome.RetryReason;
+import org.heatherreach.state.rank.Rank;
+import org.heatherreach.state.table.RankLimits;
+import org.heatherreach.state.table.ServiceLimits;
+
+/**
+ * Decides at one daemon which requests of one service part run where and when. Every submitted request gets exactly one
+ * {@link SlotAction.Dispatch} or {@link SlotAction.Refuse}, unless it is cancelled before.
+ * Implementations are confined to one thread.
+ */
+public interface SlotPool {
+    /**
+     * Takes a new request.
+     *
+     * @throws IllegalArgumentException if a request with the same id is outstanding
+     */
+    List<SlotAction> submit(SlotRequest request, long nowNanos);
+
+    /** Frees the slot of a request whose answer is complete or lost. An unknown id has no effect. */
+    List<SlotAction> complete(RequestId request, long nowNanos);
+
+    /** Forgets a request whose caller has gone, queued or running. An unknown id has no effect. */
+    List<SlotAction> cancel(RequestId request, long nowNanos);
+
+    /**
+     * Frees the slot of a dispatched request that may be repeated, and dispatches or queues it again for a server that
+     * was not yet tried. It is refused if the retry budget is used up or no such server is in use.
+     */
+    List<SlotAction> retry(RequestId request, RetryReason reason, long nowNanos);
+
+    /** Applies a grant. A grant from another daemon than the current owner, or one that is out of date, is ignored. */
+    List<SlotAction> onGrant(IncarnationId sender, SlotGrant grant, long nowNanos);
+
+    /** Applies a recall, under the same conditions as a grant. */
+    List<SlotAction> onRecall(IncarnationId sender, SlotRecall recall, long nowNanos);
+
+    /** Sets the owner of the service part and reports to it. Leases stay valid until they expire. */
+    List<SlotAction> onOwner(IncarnationId owner, long nowNanos);
+
+    /** Sets the listed servers that this daemon may connect to and the number of live daemons of the region. */
+    List<SlotAction> onServers(List<SlotServer> servers, int liveDaemons, long nowNanos);
+
+    /** Sets the limits of the table. */
+    List<SlotAction> onLimits(ServiceLimits limits, Map<Rank, RankLimits> rankLimits, long nowNanos);
+
+    /** Does what is due. Must be called at {@link #nextDeadlineNanos} at the latest. */
+    List<SlotAction> tick(long nowNanos);
+
+    /** Returns when {@link #tick} is due next. */
+    long nextDeadlineNanos();
+}
--- /dev/null
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/SlotReport.java
@@ -0,0 +1,31 @@
+package org.heatherreach.coordination.slot;
+
+import java.util.List;
+import java.util.Objects;
+
+import org.heatherreach.state.id.ServiceId;
+
+/**
+ * What a daemon tells the owner of a service part. Immutable and safe for use by any thread.
+ *
+ * @param service the service
+ * @param part the part of the service
+ * @param holdings every server of which the daemon holds or uses a slot
+ * @param demand the demand by rank
+ * @param number grows with each report of a daemon incarnation, from 1
+ * @param appliedSequence sequence of the newest grant or recall of the addressed owner that was applied, or zero
+ */
+public record SlotReport(
+        ServiceId service,
+        int part,
+        List<SlotHolding> holdings,
+        List<RankDemand> demand,
+        long number,
+        long appliedSequence) {
+    /** Creates a report. */
+    public SlotReport {
+        Objects.requireNonNull(service, "service");
+        holdings = List.copyOf(holdings);
+        demand = List.copyOf(demand);
+    }
+}
