Add health judging, the ejection guard and the crash log

The owner of a service part pools the evidence of all daemons and compares each server with its peers by sequential tests. Each daemon applies the verdicts under its own floor. Requests in flight during a crash become suspects that are kept apart by rendezvous hash, so that a second crash identifies one.

--- /dev/null
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/DaemonHealth.java
@@ -0,0 +1,53 @@
+package org.heatherreach.coordination.health;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.heatherreach.state.id.IncarnationId;
+import org.heatherreach.state.id.ServerId;
+
+/**
+ * The health decisions of one daemon for one service part. Confined to one duty thread.
+ * Implementations differ in whether they act alone or on pooled evidence.
+ */
+public interface DaemonHealth {
+    /**
+     * Replaces the servers that the daemon may use.
+     *
+     * @param listed the servers that are listed live, including those that are unavailable
+     * @param unavailable listed servers that are leaving or refuse connections
+     */
+    List<HealthAction> updateServers(Collection<ServerId> listed, Set<ServerId> unavailable, long nowNanos);
+
+    /** Notes that a request is sent to a server and returns the number of the exchange. */
+    long begin(ServerId server, long nowNanos);
+
+    /** Notes that the response head arrived. */
+    void answer(long exchange, long nowNanos);
+
+    /** Notes that a part of the response body arrived. */
+    void progress(long exchange, long nowNanos);
+
+    /** Notes that the whole response arrived. */
+    List<HealthAction> complete(long exchange, long nowNanos);
+
+    /** Notes that the exchange failed. */
+    List<HealthAction> fail(long exchange, FailureKind kind, long nowNanos);
+
+    /** Notes that the exchange ended for a reason that says nothing about the server, such as a caller that left. */
+    void cancel(long exchange, long nowNanos);
+
+    /** Returns the report to the owner; empty if there was no traffic. Called each 250 ms. */
+    Optional<HealthReport> report(long nowNanos);
+
+    /** Applies the verdicts of an owner. */
+    List<HealthAction> apply(IncarnationId owner, VerdictList verdicts, long nowNanos);
+
+    /** Ends what has expired. */
+    List<HealthAction> tick(long nowNanos);
+
+    /** Returns the share of its usual traffic that a server may get: 0 if ejected or unavailable, 100 if unrestricted. */
+    int sharePercent(ServerId server, long nowNanos);
+}
--- /dev/null
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/HealthAction.java
@@ -0,0 +1,36 @@
+package org.heatherreach.coordination.health;
+
+import org.heatherreach.state.id.IncarnationId;
+import org.heatherreach.state.id.ServerId;
+
+/** A change that the health decisions ask their daemon to carry out or log. Immutable and safe for use by any thread. */
+public sealed interface HealthAction {
+    /**
+     * The share of traffic of a server changed.
+     *
+     * @param server the server
+     * @param beforePercent the share until now
+     * @param afterPercent the share from now on
+     * @param evidence the reason
+     */
+    record ChangeShare(ServerId server, int beforePercent, int afterPercent, String evidence) implements HealthAction {}
+
+    /**
+     * An ejection was not applied because the floor does not allow it.
+     *
+     * @param server the server
+     * @param evidence the reason of the ejection
+     */
+    record WithholdEjection(ServerId server, String evidence) implements HealthAction {}
+
+    /** The owner ignores this daemon's evidence because it contradicts that of its peers. */
+    record ReportSelfFaulty() implements HealthAction {}
+
+    /**
+     * The owner starts or stops to ignore an observer.
+     *
+     * @param observer the observer
+     * @param ignored whether its evidence is ignored from now on
+     */
+    record ChangeObserver(IncarnationId observer, boolean ignored) implements HealthAction {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/JudgeResult.java
@@ -0,0 +1,27 @@
+package org.heatherreach.coordination.health;
+
+import java.util.List;
+import java.util.Set;
+
+import org.heatherreach.state.id.IncarnationId;
+
+/**
+ * What an owner decided in one tick. Immutable and safe for use by any thread.
+ *
+ * @param verdicts the verdicts to send to every daemon that uses the service part; empty if there is nothing to send
+ * @param outliers the observers whose evidence is ignored and that are to be told so
+ * @param actions the changes since the previous tick, for logs and counters
+ */
+public record JudgeResult(List<Verdict> verdicts, Set<IncarnationId> outliers, List<HealthAction> actions) {
+    /** Creates a result. */
+    public JudgeResult {
+        verdicts = List.copyOf(verdicts);
+        outliers = Set.copyOf(outliers);
+        actions = List.copyOf(actions);
+    }
+
+    /** Returns whether a message has to be sent to the given receiver. */
+    public boolean hasNewsFor(IncarnationId receiver) {
+        return !verdicts.isEmpty() || outliers.contains(receiver);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/heatherreach/coordination/poison/CrashReport.java
@@ -0,0 +1,23 @@
+package org.heatherreach.coordination.poison;
+
+import java.util.List;
+import java.util.Objects;
+
+import org.heatherreach.state.id.ServerId;
+import org.heatherreach.state.id.ServiceId;
+
+/**
+ * What one daemon had in flight on a server when it crashed. Immutable and safe for use by any thread.
+ *
+ * @param service the service
+ * @param server the server whose connections all broke
+ * @param fingerprints the requests in flight on it
+ */
+public record CrashReport(ServiceId service, ServerId server, List<Fingerprint> fingerprints) {
+    /** Creates a report. */
+    public CrashReport {
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(server, "server");
+        fingerprints = List.copyOf(fingerprints);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/heatherreach/coordination/poison/NaiveCrashGuard.java
@@ -0,0 +1,53 @@
+package org.heatherreach.coordination.poison;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.heatherreach.state.id.ServerId;
+
+/**
+ * The naive version, for comparison: the daemon alone counts the crashes that each request took part in and refuses it
+ * from the third on for 15 minutes. It shares nothing and places requests freely. Confined to one duty thread.
+ */
+public final class NaiveCrashGuard implements CrashGuard {
+    private static final int MAX_CRASHES = 3;
+
+    private final Map<Fingerprint, Integer> crashesByRequest = new HashMap<>();
+    private final Map<Fingerprint, Long> refusedDeadlines = new HashMap<>();
+
+    /** Creates a guard that refuses nothing. */
+    public NaiveCrashGuard() {}
+
+    @Override
+    public boolean refuses(Fingerprint request, long nowNanos) {
+        Long deadline = refusedDeadlines.get(request);
+        return deadline != null && nowNanos - deadline < 0;
+    }
+
+    @Override
+    public boolean mayPlace(Fingerprint request, ServerId server, long nowNanos) {
+        return true;
+    }
+
+    @Override
+    public Optional<CrashReport> crash(ServerId server, List<Fingerprint> inFlight, long nowNanos) {
+        for (Fingerprint request : inFlight) {
+            if (crashesByRequest.merge(request, 1, Integer::sum) >= MAX_CRASHES) {
+                refusedDeadlines.put(request, nowNanos + CrashLog.VALID_NANOS);
+            }
+        }
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<SuspectUpdate> complete(Fingerprint request, long nowNanos) {
+        return Optional.empty();
+    }
+
+    @Override
+    public void apply(SuspectUpdate update, long nowNanos) {
+        // The naive version shares nothing.
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/heatherreach/coordination/poison/SuspectList.java
@@ -0,0 +1,146 @@
+package org.heatherreach.coordination.poison;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+import net.openhft.hashing.LongHashFunction;
+import org.heatherreach.state.id.ServerId;
+import org.heatherreach.state.id.ServiceId;
+
+/**
+ * The suspects and refused requests of one service, as one daemon knows them.
+ *
+ * <p>Each server belongs to one suspect of a crash, by rendezvous hash over the suspects. So two suspects of one crash
+ * are never on the same server, whichever daemons send them and however their server lists differ, and this holds also
+ * between a daemon that knows a clearing and one that does not yet. A suspect that owns none of the servers has to wait
+ * until another is cleared.
+ *
+ * <p>Confined to one duty thread.
+ */
+public final class SuspectList implements CrashGuard {
+    private static final int MAX_VALID_MILLIS = (int) TimeUnit.NANOSECONDS.toMillis(CrashLog.VALID_NANOS);
+
+    private final ServiceId service;
+    private final Map<Long, Map<Fingerprint, Long>> deadlinesByCrash = new HashMap<>();
+    private final Map<Fingerprint, Long> refusedDeadlines = new HashMap<>();
+
+    /** Creates an empty list. */
+    public SuspectList(ServiceId service) {
+        this.service = Objects.requireNonNull(service, "service");
+    }
+
+    /**
+     * {@inheritDoc}
+     *
+     * @throws IllegalArgumentException if the update is for another service
+     */
+    @Override
+    public void apply(SuspectUpdate update, long nowNanos) {
+        if (!service.equals(update.service())) {
+            throw new IllegalArgumentException("update for service " + update.service() + ", expected " + service);
+        }
+        for (Suspect suspect : update.suspects()) {
+            Fingerprint request = suspect.fingerprint();
+            if (suspect.isCleared()) {
+                refusedDeadlines.remove(request);
+                removeSuspect(request);
+                continue;
+            }
+            long validMillis = Math.min(MAX_VALID_MILLIS, suspect.validMillis());
+            long deadline = nowNanos + TimeUnit.MILLISECONDS.toNanos(validMillis);
+            if (suspect.refused()) {
+                removeSuspect(request);
+                refusedDeadlines.put(request, deadline);
+            } else if (!refusedDeadlines.containsKey(request)) {
+                deadlinesByCrash
+                        .computeIfAbsent(suspect.crash(), key -> new TreeMap<>())
+                        .put(request, deadline);
+            }
+        }
+        expire(nowNanos);
+    }
+
+    @Override
+    public boolean refuses(Fingerprint request, long nowNanos) {
+        Long deadline = refusedDeadlines.get(request);
+        return deadline != null && nowNanos - deadline < 0;
+    }
+
+    @Override
+    public boolean mayPlace(Fingerprint request, ServerId server, long nowNanos) {
+        if (deadlinesByCrash.isEmpty()) {
+            return true;
+        }
+        expire(nowNanos);
+        byte[] name = server.value().getBytes(StandardCharsets.UTF_8);
+        for (Map.Entry<Long, Map<Fingerprint, Long>> entry : deadlinesByCrash.entrySet()) {
+            if (entry.getValue().containsKey(request)
+                    && !request.equals(ownerOf(name, entry.getKey(), entry.getValue()))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    @Override
+    public Optional<CrashReport> crash(ServerId server, List<Fingerprint> inFlight, long nowNanos) {
+        return inFlight.isEmpty() ? Optional.empty() : Optional.of(new CrashReport(service, server, inFlight));
+    }
+
+    @Override
+    public Optional<SuspectUpdate> complete(Fingerprint request, long nowNanos) {
+        boolean refused = refusedDeadlines.remove(request) != null;
+        boolean suspected = removeSuspect(request);
+        return refused || suspected
+                ? Optional.of(new SuspectUpdate(service, List.of(Suspect.cleared(request))))
+                : Optional.empty();
+    }
+
+    /** Returns whether a request is a suspect that is not refused. */
+    public boolean isSuspect(Fingerprint request, long nowNanos) {
+        expire(nowNanos);
+        return deadlinesByCrash.values().stream().anyMatch(suspects -> suspects.containsKey(request));
+    }
+
+    private static Fingerprint ownerOf(byte[] serverName, long crash, Map<Fingerprint, Long> suspects) {
+        Fingerprint best = null;
+        long bestScore = 0;
+        long serverHash = LongHashFunction.xx3(crash).hashBytes(serverName);
+        for (Fingerprint suspect : suspects.keySet()) {
+            long score = LongHashFunction.xx3(serverHash).hashLong(suspect.value());
+            // Suspects come in a fixed order, so that equal scores are resolved alike everywhere.
+            if (best == null || score > bestScore) {
+                best = suspect;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    private boolean removeSuspect(Fingerprint request) {
+        boolean removed = false;
+        for (Iterator<Map<Fingerprint, Long>> it = deadlinesByCrash.values().iterator(); it.hasNext(); ) {
+            Map<Fingerprint, Long> suspects = it.next();
+            removed |= suspects.remove(request) != null;
+            if (suspects.isEmpty()) {
+                it.remove();
+            }
+        }
+        return removed;
+    }
+
+    private void expire(long nowNanos) {
+        refusedDeadlines.values().removeIf(deadline -> nowNanos - deadline >= 0);
+        deadlinesByCrash.values().removeIf(suspects -> {
+            suspects.values().removeIf(deadline -> nowNanos - deadline >= 0);
+            return suspects.isEmpty();
+        });
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/heatherreach/coordination/poison/SuspectUpdate.java
@@ -0,0 +1,21 @@
+package org.heatherreach.coordination.poison;
+
+import java.util.List;
+import java.util.Objects;
+
+import org.heatherreach.state.id.ServiceId;
+
+/**
+ * Changes to the suspects of a service: from the owner to all daemons, or from a daemon to the owner when a suspect
+ * completed normally. Immutable and safe for use by any thread.
+ *
+ * @param service the service
+ * @param suspects the changed entries
+ */
+public record SuspectUpdate(ServiceId service, List<Suspect> suspects) {
+    /** Creates an update. */
+    public SuspectUpdate {
+        Objects.requireNonNull(service, "service");
+        suspects = List.copyOf(suspects);
+    }
+}
