--- /dev/null
+++ b/daemon/src/main/java/org/heatherreach/daemon/AddressAnswer.java
@@ -0,0 +1,44 @@
+package org.heatherreach.daemon;
+
+import java.util.List;
+
+import org.heatherreach.transport.http.AddressBook;
+import org.heatherreach.transport.http.DaemonAddress;
+
+/** Writes the answer of the addresses endpoint. Safe for use by any thread. */
+final class AddressAnswer {
+    private final long keepMillis;
+    private volatile AddressBook book = List::of;
+
+    AddressAnswer(long keepMillis) {
+        this.keepMillis = keepMillis;
+    }
+
+    /** Replaces the address book. */
+    void use(AddressBook next) {
+        book = next;
+    }
+
+    /** Returns the JSON text; names and zones are restricted to characters that need no escape. */
+    String text(long nowEpochMillis) {
+        StringBuilder json = new StringBuilder("{\"addresses\":[");
+        String separator = "";
+        for (DaemonAddress address : book.addresses()) {
+            json.append(separator)
+                    .append("{\"daemon\":\"")
+                    .append(address.daemon())
+                    .append("\",\"host\":\"")
+                    .append(address.host())
+                    .append("\",\"port\":")
+                    .append(address.port())
+                    .append(",\"zone\":\"")
+                    .append(address.zone())
+                    .append("\"}");
+            separator = ",";
+        }
+        return json.append("],\"keepUntilEpochMillis\":")
+                .append(nowEpochMillis + keepMillis)
+                .append("}\n")
+                .toString();
+    }
+}
--- a/daemon/src/main/java/org/heatherreach/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/DaemonMain.java
@@ -1,11 +1,91 @@
 package org.heatherreach.daemon;
 
-/** Entry point of {@code heatherreachd}. Stateless. */
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.heatherreach.transport.http.ExchangeObserver;
+
+/** Entry point of {@code heatherreachd}. Confined to the main thread. */
 public final class DaemonMain {
+    private static final int EXIT_FAILURE = 1;
+    private static final int EXIT_USAGE = 2;
+
+    @Parameter(names = "--config", description = "The settings file", required = true)
+    private String config;
+
+    @Parameter(names = "--check", description = "Check the settings and exit")
+    private boolean check;
+
+    @Parameter(names = "--help", help = true, description = "Show this help")
+    private boolean help;
+
     private DaemonMain() {}
 
-    /** Runs the program. */
+    /** Runs the program; exits with 2 on faulty arguments or settings and with 1 if the daemon can't start. */
     public static void main(String[] args) {
-        System.exit(2);
+        // Has to be set before the first logger is created.
+        System.setProperty("java.util.logging.manager", "org.jboss.logmanager.LogManager");
+        System.setProperty("org.jboss.logging.provider", "jboss");
+        System.exit(new DaemonMain().run(args));
+    }
+
+    private int run(String[] args) {
+        JCommander commander = JCommander.newBuilder()
+                .addObject(this)
+                .programName("heatherreachd")
+                .build();
+        try {
+            commander.parse(args);
+        } catch (ParameterException e) {
+            System.err.println("heatherreachd: " + e.getMessage());
+            return EXIT_USAGE;
+        }
+        if (help) {
+            commander.usage();
+            return 0;
+        }
+        Either<List<SettingsError>, DaemonSettings> settings = SettingsFile.read(Path.of(config));
+        if (settings.isLeft()) {
+            settings.getLeft().forEach(error -> System.err.println("heatherreachd: " + error));
+            return EXIT_USAGE;
+        }
+        if (check) {
+            System.out.println(config + ": ok");
+            return 0;
+        }
+        return serve(settings.get());
+    }
+
+    private static int serve(DaemonSettings settings) {
+        Logs.configure(settings.logFormat(), settings.logLevel());
+        HttpDaemon daemon;
+        try {
+            daemon = new HttpDaemon(
+                    settings, Option.none(), ExchangeObserver.NONE, (service, fingerprint) -> false, Map.of());
+        } catch (RuntimeException e) {
+            System.err.println("heatherreachd: cannot start: " + e.getMessage());
+            return EXIT_FAILURE;
+        }
+        // SIGTERM and SIGINT run the hook. Without the halt the exit status would be that of a killed process.
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            daemon.shutDown();
+                            Runtime.getRuntime().halt(0);
+                        },
+                        "shutdown"));
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return 0;
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/heatherreach/daemon/Logs.java
@@ -0,0 +1,29 @@
+package org.heatherreach.daemon;
+
+import org.jboss.logmanager.LogContext;
+import org.jboss.logmanager.formatters.JsonFormatter;
+import org.jboss.logmanager.formatters.PatternFormatter;
+import org.jboss.logmanager.handlers.ConsoleHandler;
+import reactor.util.Loggers;
+
+/** Configures logging from the settings. Stateless. */
+final class Logs {
+    private static final String PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5p [%c{1}] %s%e%n";
+
+    private Logs() {}
+
+    /** Sends every log line to standard error in the chosen form. */
+    static void configure(LogFormat format, LogLevel level) {
+        ConsoleHandler handler = new ConsoleHandler(
+                ConsoleHandler.Target.SYSTEM_ERR,
+                format == LogFormat.JSON ? new JsonFormatter() : new PatternFormatter(PATTERN));
+        handler.setLevel(level.level());
+        org.jboss.logmanager.Logger root = LogContext.getLogContext().getLogger("");
+        root.setHandlers(new java.util.logging.Handler[] {handler});
+        root.setLevel(level.level());
+        Loggers.useJdkLoggers();
+        // Libraries log per connection; the request path has counters for that.
+        LogContext.getLogContext().getLogger("reactor").setLevel(LogLevel.ERROR.level());
+        LogContext.getLogContext().getLogger("io.netty").setLevel(LogLevel.WARN.level());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherreach/daemon/SettingsFile.java
@@ -0,0 +1,235 @@
+package org.heatherreach.daemon;
+
+import java.io.IOException;
+import java.io.Reader;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+
+import io.vavr.control.Either;
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.SubnodeConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+import org.apache.commons.configuration2.tree.ImmutableNode;
+import org.heatherreach.state.id.DaemonId;
+import org.heatherreach.state.id.RegionId;
+import org.heatherreach.state.id.ServiceId;
+import org.heatherreach.state.id.ZoneId;
+import org.heatherreach.state.rank.Rank;
+import org.heatherreach.state.table.RankLimits;
+import org.heatherreach.state.table.ServiceLimits;
+import org.heatherreach.transport.http.ProxyLimits;
+import org.heatherreach.transport.http.ProxyMode;
+
+/**
+ * Reads a settings file and reports every fault in it at once. Confined to one thread.
+ */
+public final class SettingsFile {
+    private static final String SERVICE_PREFIX = "service:";
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,127}");
+    private static final String NAME_FORM = "letters, digits, dots, underscores and hyphens, at most 128";
+    private static final int MAX_MILLIS = 3_600_000;
+
+    private final String file;
+    private final List<SettingsError> errors = new ArrayList<>();
+    private final Map<String, SectionReader> sections = new LinkedHashMap<>();
+    private final Set<String> readSections = new HashSet<>();
+
+    private SettingsFile(String file) {
+        this.file = file;
+    }
+
+    /** Reads a file; returns the settings or every fault. */
+    public static Either<List<SettingsError>, DaemonSettings> read(Path path) {
+        Objects.requireNonNull(path, "path");
+        SettingsFile reader = new SettingsFile(path.toString());
+        try {
+            reader.load(path);
+        } catch (IOException | ConfigurationException e) {
+            return Either.left(List.of(
+                    new SettingsError(path.toString(), "", "", "cannot be read: " + e.getMessage(), "an INI file")));
+        }
+        DaemonSettings settings = reader.build();
+        return reader.errors.isEmpty() ? Either.right(settings) : Either.left(List.copyOf(reader.errors));
+    }
+
+    private void load(Path path) throws IOException, ConfigurationException {
+        INIConfiguration ini = new INIConfiguration();
+        try (Reader text = Files.newBufferedReader(path, StandardCharsets.UTF_8)) {
+            ini.read(text);
+        }
+        for (String name : ini.getSections()) {
+            SubnodeConfiguration section = ini.getSection(name);
+            Map<String, List<String>> values = new LinkedHashMap<>();
+            // Keys are taken from the nodes, because a dot in a key would otherwise be read as a path.
+            for (ImmutableNode node : section.getNodeModel().getNodeHandler().getRootNode()) {
+                values.computeIfAbsent(node.getNodeName(), key -> new ArrayList<>())
+                        .add(String.valueOf(node.getValue()));
+            }
+            sections.put(name == null ? "" : name, new SectionReader(file, name == null ? "" : name, values, errors));
+        }
+    }
+
+    private DaemonSettings build() {
+        SectionReader daemon = section("daemon");
+        DaemonId id = daemon.require("name", new DaemonId("unnamed"), NAME_FORM, named(DaemonId::new));
+        ZoneId zone = daemon.require("zone", new ZoneId("unnamed"), NAME_FORM, named(ZoneId::new));
+        RegionId region = daemon.read("region", new RegionId("default"), NAME_FORM, named(RegionId::new));
+        ProxyMode mode = daemon.choice("mode", ProxyMode.FLEET, ProxyMode.values());
+        long seed = daemon.number("seed", 0, 0, Long.MAX_VALUE);
+        int scheduleRing = daemon.integer("schedule_ring", 65_536, 16, 1_048_576);
+
+        SectionReader listen = section("listen");
+        InetSocketAddress address =
+                listen.require("address", new InetSocketAddress(0), AddressParser.ADDRESS_FORM, AddressParser::address);
+        int processors = Runtime.getRuntime().availableProcessors();
+        int ioThreads = listen.integer("io_threads", Math.max(2, Math.min(4, processors)), 1, 64);
+
+        SectionReader addresses = section("addresses");
+        var daemons = addresses.read("daemons", List.of(), AddressParser.LIST_FORM, AddressParser::daemons);
+        long keepMillis = addresses.number("keep_ms", 10_000, 100, 10_000);
+
+        SectionReader shutdown = section("shutdown");
+        long quietMillis = shutdown.number("quiet_ms", 500, 10, 60_000);
+
+        ProxyLimits limits = readLimits(section("limits"));
+        SectionReader log = section("log");
+        LogFormat format = log.choice("format", LogFormat.JSON, LogFormat.values());
+        LogLevel level = log.choice("level", LogLevel.INFO, LogLevel.values());
+
+        Map<ServiceId, ServiceSettings> services = readServices();
+        Map<String, ServiceId> routes = readRoutes(services);
+        rejectUnread();
+        return new DaemonSettings(
+                id,
+                zone,
+                region,
+                mode,
+                address,
+                ioThreads,
+                scheduleRing,
+                seed,
+                daemons,
+                keepMillis,
+                quietMillis,
+                limits,
+                format,
+                level,
+                services,
+                routes);
+    }
+
+    private static ProxyLimits readLimits(SectionReader section) {
+        ProxyLimits defaults = ProxyLimits.defaults();
+        return new ProxyLimits(
+                section.integer("head_bytes", defaults.headBytes(), 1024, 1024 * 1024),
+                section.number("body_bytes", defaults.bodyBytes(), 1, 1L << 40),
+                section.integer("retained_body_bytes", defaults.retainedBodyBytes(), 1, 16 * 1024 * 1024),
+                section.integer("keyed_body_bytes", defaults.keyedBodyBytes(), 1, 64 * 1024 * 1024),
+                section.integer("head_timeout_ms", defaults.headTimeoutMillis(), 10, MAX_MILLIS),
+                section.integer("stall_timeout_ms", defaults.stallTimeoutMillis(), 10, MAX_MILLIS),
+                section.integer("connect_timeout_ms", defaults.connectTimeoutMillis(), 1, 60_000),
+                section.integer("idle_timeout_ms", defaults.idleTimeoutMillis(), 100, MAX_MILLIS),
+                section.integer("attempts", defaults.attempts(), 1, 10),
+                section.integer("connections", defaults.connections(), 1, 1_000_000));
+    }
+
+    private Map<ServiceId, ServiceSettings> readServices() {
+        Map<ServiceId, ServiceSettings> services = new LinkedHashMap<>();
+        for (String name : List.copyOf(sections.keySet())) {
+            if (!name.startsWith(SERVICE_PREFIX)) {
+                continue;
+            }
+            SectionReader section = section(name);
+            String label = name.substring(SERVICE_PREFIX.length());
+            if (!NAME.matcher(label).matches()) {
+                section.add("", "\"" + label + "\" is not a service name", NAME_FORM);
+                continue;
+            }
+            ServiceId id = new ServiceId(label);
+            services.put(id, readService(id, section));
+        }
+        return services;
+    }
+
+    private static ServiceSettings readService(ServiceId id, SectionReader section) {
+        ServiceLimits limits = new ServiceLimits(
+                id,
+                section.integer("floor_percent", 50, 0, 100),
+                section.integer("slots", 3, 1, 10_000),
+                section.integer("connections", 330, 1, 100_000),
+                section.integer("retry_percent", 10, 0, 100));
+        Map<Rank, RankLimits> ranks = new EnumMap<>(Rank.class);
+        for (Rank rank : Rank.values()) {
+            ranks.put(
+                    rank,
+                    new RankLimits(
+                            rank,
+                            1,
+                            0,
+                            section.integer(rank.label() + "_queue_limit", 1000, 1, 1_000_000),
+                            section.integer(rank.label() + "_timeout_ms", 10_000, 1, MAX_MILLIS)));
+        }
+        return new ServiceSettings(
+                limits, ranks, section.require("servers", List.of(), AddressParser.LIST_FORM, AddressParser::servers));
+    }
+
+    private Map<String, ServiceId> readRoutes(Map<ServiceId, ServiceSettings> services) {
+        Map<String, ServiceId> routes = new LinkedHashMap<>();
+        SectionReader section = section("routes");
+        for (String prefix : List.copyOf(section.keys())) {
+            ServiceId service = section.read(
+                    prefix,
+                    null,
+                    "the name of a service that has a section",
+                    text -> services.keySet().stream()
+                            .filter(id -> id.value().equals(text))
+                            .findFirst()
+                            .<Either<String, ServiceId>>map(Either::right)
+                            .orElseGet(() -> Either.left("\"" + text + "\" is no service")));
+            if (!prefix.startsWith("/")) {
+                section.add(prefix, "the key is not a path prefix", "a prefix that starts with a slash");
+            } else if (service != null) {
+                routes.put(prefix, service);
+            }
+        }
+        return routes;
+    }
+
+    private SectionReader section(String name) {
+        readSections.add(name);
+        return sections.computeIfAbsent(name, key -> new SectionReader(file, key, Map.of(), errors));
+    }
+
+    private void rejectUnread() {
+        sections.forEach((name, section) -> {
+            if (readSections.contains(name)) {
+                section.rejectUnread();
+            } else {
+                List<String> expected = readSections.stream()
+                        .filter(known -> !known.startsWith(SERVICE_PREFIX))
+                        .sorted()
+                        .toList();
+                errors.add(new SettingsError(
+                        file, name, "", "unknown section", "one of " + String.join(", ", expected) + ", service:NAME"));
+            }
+        });
+    }
+
+    private static <T> Function<String, Either<String, T>> named(Function<String, T> create) {
+        return text -> NAME.matcher(text).matches()
+                ? Either.right(create.apply(text))
+                : Either.left("\"" + text + "\" is not a name");
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/heatherreach/transport/http/BackendAttempt.java
@@ -0,0 +1,277 @@
+package org.heatherreach.transport.http;
+
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import org.heatherreach.protocol.http.CallHeaders;
+import org.heatherreach.state.outcome.Outcome;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
+import reactor.netty.NettyOutbound;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientRequest;
+import reactor.netty.http.client.HttpClientResponse;
+
+/**
+ * One exchange with a server or with another daemon.
+ *
+ * <p>Invariants: {@code onEnd} is called exactly once; the connection returns to the pool only if the request was
+ * written completely and the response was read completely, without a byte left over.
+ *
+ * <p>Thread safety: created by the caller's event loop; its callbacks run on the event loop of the connection.
+ */
+final class BackendAttempt {
+    // Bodies of up to 9,999 bytes are read so that a server that sheds keeps its connections.
+    private static final int DRAINED_SHED_DIGITS = 4;
+    private static final long MAX_RETRY_AFTER_SECONDS = 3600;
+    private static final byte[] NO_BYTES = new byte[0];
+
+    private final CallerRequest request;
+    private final RequestBody body;
+    private final ProxyLimits limits;
+    private final String forwardedBy;
+    private final long startNanos;
+    private final Consumer<ExchangeResult> onEnd;
+    private final Relay relay;
+    private final AtomicBoolean ended = new AtomicBoolean();
+    private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.NEW);
+    private volatile Channel channel;
+    private volatile BackendGuard guard;
+    private volatile boolean requestSent;
+    private volatile boolean shed;
+    private volatile boolean finished;
+    private volatile long headNanos;
+    private volatile int statusCode;
+
+    private enum Stage {
+        NEW,
+        BEGUN,
+        ABANDONED
+    }
+
+    /** Streams a response to the caller while it arrives. */
+    @FunctionalInterface
+    interface Relay {
+        /** Returns the end of the relayed response; empty if the caller must not be answered any more. */
+        Mono<Answer> stream(int statusCode, HttpHeaders headers, Flux<ByteBuf> body);
+    }
+
+    /**
+     * Creates an attempt.
+     *
+     * @param forwardedBy the incarnation of this daemon if the attempt forwards to another daemon, else empty
+     * @param onEnd told how the exchange ended
+     * @param relay streams responses that are too large to be read completely first
+     */
+    BackendAttempt(
+            CallerRequest request,
+            RequestBody body,
+            ProxyLimits limits,
+            String forwardedBy,
+            long nowNanos,
+            Consumer<ExchangeResult> onEnd,
+            Relay relay) {
+        this.request = Objects.requireNonNull(request, "request");
+        this.body = Objects.requireNonNull(body, "body");
+        this.limits = Objects.requireNonNull(limits, "limits");
+        this.forwardedBy = Objects.requireNonNull(forwardedBy, "forwardedBy");
+        this.startNanos = nowNanos;
+        this.onEnd = Objects.requireNonNull(onEnd, "onEnd");
+        this.relay = Objects.requireNonNull(relay, "relay");
+    }
+
+    /** Returns the answer of the server, or a {@link BackendFailure}. */
+    Mono<Answer> run(HttpClient client) {
+        return client.request(HttpMethod.valueOf(request.method()))
+                .uri(request.target())
+                .send(this::write)
+                .responseConnection(this::read)
+                .singleOrEmpty()
+                .onErrorMap(error -> !(error instanceof BackendFailure), this::convert)
+                .doOnError(
+                        error -> end(error instanceof BackendFailure failure ? failure.kind() : FailureKind.CANCELLED));
+    }
+
+    /** Returns whether a byte of the request may have reached the server, and the server did not shed it. */
+    boolean mayHaveRun() {
+        return stage.get() == Stage.BEGUN && !shed;
+    }
+
+    /** Returns whether the body of the request was neither consumed nor sent, or can be sent again. */
+    boolean isRepeatable() {
+        return stage.get() != Stage.BEGUN || body.isRetained();
+    }
+
+    /** Ends the exchange because its answer is no longer wanted; an open connection is closed. */
+    void abandon(FailureKind kind) {
+        // Decides the race with write(): after this line either the request is never written or it counts as begun.
+        stage.compareAndSet(Stage.NEW, Stage.ABANDONED);
+        end(kind);
+        Channel open = channel;
+        if (open != null && !finished) {
+            open.close();
+        }
+    }
+
+    private Publisher<Void> write(HttpClientRequest target, NettyOutbound outbound) {
+        outbound.withConnection(this::bind);
+        long remainingNanos = request.deadlineNanos() - System.nanoTime();
+        if (remainingNanos <= 0 || !stage.compareAndSet(Stage.NEW, Stage.BEGUN)) {
+            return Mono.error(new BackendFailure(FailureKind.CANCELLED, "given up before the request was sent", 0));
+        }
+        HttpHeaders headers = target.requestHeaders();
+        headers.clear();
+        HopHeaders.copy(request.headers(), headers, "");
+        long remainingMillis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(remainingNanos));
+        headers.set(CallHeaders.TIMEOUT_MS, Long.toString(remainingMillis));
+        headers.set(CallHeaders.REQUEST_ID, request.requestId().toString());
+        headers.remove(CallHeaders.FORWARDED);
+        if (!forwardedBy.isEmpty()) {
+            headers.set(CallHeaders.FORWARDED, forwardedBy);
+            headers.set(CallHeaders.SERVICE, request.service().toString());
+        }
+        return body.isRetained() ? writeRetained(headers, outbound) : writeStream(headers, outbound);
+    }
+
+    private Publisher<Void> writeRetained(HttpHeaders headers, NettyOutbound outbound) {
+        requestSent = true;
+        if (body.bytes().length > 0) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.bytes().length));
+            return outbound.send(Mono.fromSupplier(body::toBuffer)).then();
+        }
+        return outbound.then();
+    }
+
+    private Publisher<Void> writeStream(HttpHeaders headers, NettyOutbound outbound) {
+        if (body.lengthBytes() < 0) {
+            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
+        return outbound.send(body.stream().doOnComplete(() -> requestSent = true), buffer -> true)
+                .then();
+    }
+
+    private void bind(Connection connection) {
+        channel = connection.channel();
+        guard = channel.pipeline().get(BackendGuard.class);
+        guard.begin(request.method());
+    }
+
+    private Publisher<Answer> read(HttpClientResponse response, Connection connection) {
+        headNanos = System.nanoTime();
+        statusCode = response.status().code();
+        HttpHeaders headers = new DefaultHttpHeaders();
+        HopHeaders.copy(response.responseHeaders(), headers, forwardedBy.isEmpty() ? CallHeaders.PREFIX : "");
+        if (forwardedBy.isEmpty() && isShed(response)) {
+            return drainShed(response, connection);
+        }
+        if (guard.isUnframed()) {
+            return Mono.error(new BackendFailure(
+                    FailureKind.TRUNCATED, "the response states no length, so its end can't be told from a break", 0));
+        }
+        boolean bodyless = "HEAD".equals(request.method()) || statusCode == 204 || statusCode == 304;
+        long lengthBytes = headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+                ? Long.parseLong(headers.get(HttpHeaderNames.CONTENT_LENGTH))
+                : -1;
+        if (bodyless) {
+            return connection
+                    .inbound()
+                    .receive()
+                    .then(Mono.fromSupplier(() -> whole(new Answer.Whole(statusCode, headers, NO_BYTES, true))));
+        }
+        if (lengthBytes >= 0 && lengthBytes <= limits.retainedBodyBytes()) {
+            return connection
+                    .inbound()
+                    .receive()
+                    .aggregate()
+                    .asByteArray()
+                    .defaultIfEmpty(NO_BYTES)
+                    .map(bytes -> whole(new Answer.Whole(statusCode, headers, bytes, false)));
+        }
+        Flux<ByteBuf> content = connection.inbound().receive().retain().doOnComplete(this::complete);
+        return relay.stream(statusCode, headers, content.onErrorMap(this::convert));
+    }
+
+    private static boolean isShed(HttpClientResponse response) {
+        HttpHeaders headers = response.responseHeaders();
+        return response.status().code() == 503
+                && headers.contains(HttpHeaderNames.RETRY_AFTER)
+                && "true".equals(headers.get(CallHeaders.BACKEND_SHED));
+    }
+
+    private Publisher<Answer> drainShed(HttpClientResponse response, Connection connection) {
+        shed = true;
+        BackendFailure failure = new BackendFailure(
+                FailureKind.SHED,
+                "the server shed the request",
+                retryAfterMillis(response.responseHeaders().get(HttpHeaderNames.RETRY_AFTER)));
+        String length = response.responseHeaders().get(HttpHeaderNames.CONTENT_LENGTH);
+        if (length == null || length.length() > DRAINED_SHED_DIGITS) {
+            return Mono.error(failure);
+        }
+        return connection
+                .inbound()
+                .receive()
+                .then(Mono.defer(() -> {
+                    finished = true;
+                    return Mono.<Answer>error(failure);
+                }))
+                .onErrorMap(error -> failure);
+    }
+
+    private static long retryAfterMillis(String value) {
+        try {
+            return TimeUnit.SECONDS.toMillis(Math.min(Long.parseLong(value), MAX_RETRY_AFTER_SECONDS));
+        } catch (NumberFormatException e) {
+            return TimeUnit.SECONDS.toMillis(1);
+        }
+    }
+
+    private Answer whole(Answer.Whole answer) {
+        complete();
+        return answer;
+    }
+
+    private void complete() {
+        finished = true;
+        if (!requestSent) {
+            channel.close();
+        }
+        end(statusCode >= 500 ? FailureKind.ERROR : FailureKind.NONE);
+    }
+
+    private Throwable convert(Throwable error) {
+        if (error instanceof BackendFailure || error instanceof RequestRefusal) {
+            return error;
+        }
+        Stage reached = stage.get();
+        if (reached != Stage.BEGUN) {
+            return new BackendFailure(
+                    reached == Stage.ABANDONED ? FailureKind.CANCELLED : FailureKind.CONNECT,
+                    "no connection: " + error,
+                    0);
+        }
+        return new BackendFailure(FailureKind.TRUNCATED, "the connection broke: " + error, 0);
+    }
+
+    private void end(FailureKind kind) {
+        if (ended.compareAndSet(false, true)) {
+            long endNanos = headNanos != 0 ? headNanos : System.nanoTime();
+            Outcome outcome = kind.isAnswered() && kind != FailureKind.SHED
+                    ? Outcome.BACKEND
+                    : mayHaveRun() ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+            onEnd.accept(new ExchangeResult(outcome, endNanos - startNanos, kind));
+        }
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -0,0 +1,641 @@
+package org.heatherreach.transport.http;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import net.openhft.hashing.LongHashFunction;
+import org.heatherreach.protocol.http.CallHeaders;
+import org.heatherreach.state.id.ServerId;
+import org.heatherreach.state.outcome.Outcome;
+import org.heatherreach.state.outcome.RefusalReason;
+import org.heatherreach.state.outcome.RetryReason;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * The life of one accepted request: body, decision on its key, schedule, exchange with a server, retries, answer.
+ *
+ * <p>Invariants: the caller gets one answer, complete and its own, or its connection is reset; {@code not-run} is said
+ * only if no server can have run the request; every dispatched attempt is completed at the scheduler exactly once.
+ *
+ * <p>Thread safety: created on the event loop of the caller's connection. Signals of servers arrive on other event
+ * loops; the phase decides races between them, the deadline and faults of the caller.
+ */
+final class CallerExchange {
+    private static final AtomicLong TICKETS = new AtomicLong();
+    private static final LongHashFunction HASH = LongHashFunction.xx3();
+
+    private enum Phase {
+        READING,
+        QUEUED,
+        RUNNING,
+        RELAYING,
+        ENDED
+    }
+
+    private final ProxyParts parts;
+    private final BackendClients clients;
+    private final RetryBudget budget;
+    private final CallerRequest request;
+    private final HttpServerRequest inbound;
+    private final HttpServerResponse outbound;
+    private final Channel channel;
+    private final CallerGuard guard;
+    private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.READING);
+    private final Sinks.One<Answer> interruption = Sinks.one();
+    private final Set<ServerId> tried = new HashSet<>();
+    private final AtomicBoolean keyOpen = new AtomicBoolean();
+    private long fingerprint;
+    private volatile boolean earlierAttemptMayHaveRun;
+    private volatile BackendAttempt attempt;
+    private volatile long queuedTicket;
+    private volatile boolean callerGone;
+    private volatile boolean executed;
+    private volatile long progressNanos;
+    private ScheduledFuture<?> deadlineTimer;
+    private volatile ScheduledFuture<?> stallTimer;
+    private int attempts;
+
+    CallerExchange(
+            ProxyParts parts,
+            BackendClients clients,
+            RetryBudget budget,
+            CallerRequest request,
+            HttpServerRequest inbound,
+            HttpServerResponse outbound,
+            Channel channel) {
+        this.parts = Objects.requireNonNull(parts, "parts");
+        this.clients = Objects.requireNonNull(clients, "clients");
+        this.budget = Objects.requireNonNull(budget, "budget");
+        this.request = Objects.requireNonNull(request, "request");
+        this.inbound = Objects.requireNonNull(inbound, "inbound");
+        this.outbound = Objects.requireNonNull(outbound, "outbound");
+        this.channel = Objects.requireNonNull(channel, "channel");
+        this.guard = channel.pipeline().get(CallerGuard.class);
+    }
+
+    /** Answers the request. */
+    Mono<Void> run() {
+        long delayNanos = request.deadlineNanos() - System.nanoTime();
+        deadlineTimer = channel.eventLoop().schedule(this::passDeadline, delayNanos, TimeUnit.NANOSECONDS);
+        guard.listenForBodyFault(this::failBody);
+        Mono<Answer> work = Mono.firstWithSignal(
+                        readBody().flatMap(this::decide).onErrorResume(this::refuseFault), interruption.asMono())
+                .doOnNext(this::finishKey);
+        Mono<Answer> answer = request.key().isDefined() ? detached(work) : work;
+        return answer.onErrorResume(error -> onLoop(Mono.defer(() -> {
+                    resetCaller();
+                    return Mono.<Answer>error(error);
+                })))
+                .flatMap(this::deliver)
+                .doOnCancel(this::callerLeft)
+                .doFinally(signal -> release());
+    }
+
+    /** Keeps a request with a key running when its caller leaves, so that a repetition finds the response. */
+    private Mono<Answer> detached(Mono<Answer> work) {
+        return Mono.defer(() -> {
+            Sinks.One<Answer> result = Sinks.one();
+            work.subscribe(result::tryEmitValue, result::tryEmitError, result::tryEmitEmpty);
+            return result.asMono();
+        });
+    }
+
+    private Mono<RequestBody> readBody() {
+        HttpHeaders headers = request.headers();
+        boolean chunked = headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+        long lengthBytes = headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+                ? Long.parseLong(headers.get(HttpHeaderNames.CONTENT_LENGTH))
+                : 0;
+        boolean keyed = request.key().isDefined();
+        long limitBytes =
+                keyed ? parts.limits().keyedBodyBytes() : parts.limits().bodyBytes();
+        if (!chunked && lengthBytes == 0) {
+            return Mono.just(RequestBody.empty());
+        }
+        if (lengthBytes > limitBytes) {
+            return Mono.error(new RequestRefusal(RefusalReason.BODY_TOO_LARGE));
+        }
+        if (keyed || (!chunked && lengthBytes <= parts.limits().retainedBodyBytes())) {
+            return limited(limitBytes)
+                    .collect(() -> channel.alloc().compositeBuffer(), (all, part) -> all.addComponent(true, part))
+                    .map(all -> {
+                        byte[] bytes = new byte[all.readableBytes()];
+                        all.readBytes(bytes).release();
+                        return RequestBody.retained(bytes);
+                    });
+        }
+        return Mono.just(RequestBody.streamed(limited(limitBytes), chunked ? -1 : lengthBytes));
+    }
+
+    private Flux<ByteBuf> limited(long limitBytes) {
+        return Flux.defer(() -> {
+            long[] receivedBytes = {0};
+            return inbound.receive().retain().doOnNext(part -> {
+                receivedBytes[0] += part.readableBytes();
+                if (receivedBytes[0] > limitBytes) {
+                    part.release();
+                    throw new RequestRefusal(RefusalReason.BODY_TOO_LARGE);
+                }
+            });
+        });
+    }
+
+    private Mono<Answer> decide(RequestBody body) {
+        long bodyHash = body.isRetained() ? HASH.hashBytes(body.bytes()) : body.lengthBytes();
+        long requestHash = HASH.hashLongs(
+                new long[] {HASH.hashChars(request.method()), HASH.hashChars(request.target()), bodyHash});
+        long keyHash = request.key().map(HASH::hashChars).getOrElse(requestHash);
+        fingerprint = HASH.hashLongs(new long[] {
+            HASH.hashChars(request.service().value()),
+            HASH.hashChars(request.method()),
+            HASH.hashChars(request.target()),
+            keyHash
+        });
+        if (request.key().isEmpty()) {
+            return refusesCrash() ? refuse(RefusalReason.CRASH_SUSPECT, 0) : schedule(body);
+        }
+        if (parts.keyed().isEmpty()) {
+            return refuse(RefusalReason.INVALID_KEY, 0);
+        }
+        KeyedRequest keyed = new KeyedRequest(
+                request.key().get(),
+                request.service(),
+                requestHash,
+                request.deadlineNanos(),
+                request.parameters().forwardedBy().isDefined());
+        return Mono.<KeyedDecision>create(sink ->
+                        parts.keyed().get().begin(keyed, decision -> onLoop(() -> sink.success(decision))))
+                .flatMap(decision -> follow(decision, body));
+    }
+
+    private boolean refusesCrash() {
+        return parts.crashFilter().refuses(request.service(), fingerprint);
+    }
+
+    private Mono<Answer> follow(KeyedDecision decision, RequestBody body) {
+        if (decision instanceof KeyedDecision.Dispatch) {
+            keyOpen.set(true);
+            executed = true;
+            if (callerGone || phase.get() == Phase.ENDED) {
+                // Nobody waits for the answer and nothing was sent, so the caller may safely repeat the request.
+                finishKey(new Answer.Refusal(RefusalReason.DEADLINE_PASSED, Outcome.NOT_RUN, 0));
+                return Mono.never();
+            }
+            return refusesCrash() ? refuse(RefusalReason.CRASH_SUSPECT, 0) : schedule(body);
+        }
+        if (decision instanceof KeyedDecision.Replay replay) {
+            parts.meters().countReplay();
+            return Mono.just(replayed(replay.response()));
+        }
+        if (decision instanceof KeyedDecision.Refuse refusal) {
+            return refuse(refusal.reason(), refusal.retryAfterMillis());
+        }
+        return forward((KeyedDecision.Forward) decision, body);
+    }
+
+    private Answer replayed(RecordedResponse response) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        headers.set(CallHeaders.REPLAYED, response.complete() ? "complete" : "truncated");
+        if (!response.contentType().isEmpty()) {
+            headers.set(HttpHeaderNames.CONTENT_TYPE, response.contentType());
+        }
+        boolean bodyless = response.statusCode() == 204 || response.statusCode() == 304;
+        return new Answer.Whole(response.statusCode(), headers, response.body(), bodyless);
+    }
+
+    private Mono<Answer> forward(KeyedDecision.Forward decision, RequestBody body) {
+        if (request.parameters().forwardedBy().isDefined() || !enter(Phase.RUNNING)) {
+            return refuse(RefusalReason.EXECUTOR_UNREACHABLE, 0);
+        }
+        attempt = new BackendAttempt(
+                request,
+                body,
+                parts.limits(),
+                parts.incarnation().toString(),
+                System.nanoTime(),
+                result -> {},
+                this::stream);
+        return attempt.run(clients.client(decision.executor(), parts.limits().connections()))
+                .flatMap(this::claim)
+                .onErrorResume(BackendFailure.class, failure -> refuse(RefusalReason.EXECUTOR_UNREACHABLE, 0));
+    }
+
+    private Mono<Answer> schedule(RequestBody body) {
+        if (!enter(Phase.QUEUED)) {
+            return Mono.never();
+        }
+        attempts++;
+        long ticket = TICKETS.incrementAndGet();
+        return Mono.<ScheduleDecision>create(sink -> {
+                    queuedTicket = ticket;
+                    boolean accepted = parts.scheduler()
+                            .submit(new Submission(
+                                    ticket,
+                                    request.service(),
+                                    request.parameters().rank(),
+                                    request.parameters().workspace(),
+                                    fingerprint,
+                                    request.deadlineNanos(),
+                                    tried,
+                                    decision -> onLoop(() -> {
+                                        // A decision that crosses a cancellation finds the ticket cleared.
+                                        if (queuedTicket == ticket) {
+                                            queuedTicket = 0;
+                                            sink.success(decision);
+                                        }
+                                    })));
+                    if (!accepted) {
+                        queuedTicket = 0;
+                        sink.success(new ScheduleDecision.Refuse(RefusalReason.RING_FULL, 0));
+                    }
+                })
+                .flatMap(decision -> {
+                    if (decision instanceof ScheduleDecision.Refuse refusal) {
+                        return refuse(refusal.reason(), refusal.retryAfterMillis());
+                    }
+                    return dispatch(((ScheduleDecision.Dispatch) decision).server(), ticket, body);
+                });
+    }
+
+    private Mono<Answer> dispatch(BackendServer server, long ticket, RequestBody body) {
+        if (!enter(Phase.RUNNING)) {
+            parts.scheduler().cancel(ticket);
+            return Mono.never();
+        }
+        long nowNanos = System.nanoTime();
+        parts.observer().dispatched(request.service(), server.id(), fingerprint, nowNanos);
+        BackendAttempt current = new BackendAttempt(
+                request,
+                body,
+                parts.limits(),
+                "",
+                nowNanos,
+                result -> {
+                    parts.scheduler().complete(ticket, result);
+                    parts.observer().ended(request.service(), server.id(), fingerprint, result, System.nanoTime());
+                },
+                this::stream);
+        attempt = current;
+        int connections = parts.catalog()
+                .serviceLimits(request.service())
+                .map(limits -> limits.connections())
+                .getOrElse(1);
+        HttpClient client = clients.client(server.address(), connections);
+        return current.run(client).flatMap(this::claim).onErrorResume(BackendFailure.class, failure -> {
+            // The caller's event loop goes on, so that the state of the exchange needs no locks.
+            return this.<Answer>onLoop(Mono.defer(() -> afterFailure(server, current, body, failure)));
+        });
+    }
+
+    private Mono<Answer> afterFailure(
+            BackendServer server, BackendAttempt failed, RequestBody body, BackendFailure failure) {
+        if (phase.get() == Phase.RELAYING || phase.get() == Phase.ENDED) {
+            return Mono.error(failure);
+        }
+        earlierAttemptMayHaveRun |= failed.mayHaveRun();
+        tried.add(server.id());
+        RetryReason reason = retryReason(failure.kind());
+        if (reason != null && mayRepeat(reason, failed)) {
+            parts.meters().countRetry(reason);
+            return schedule(body);
+        }
+        return switch (failure.kind()) {
+            case CONNECT -> refuse(RefusalReason.CONNECT_FAILED, 0);
+            case SHED -> refuse(RefusalReason.SERVERS_SHED, failure.retryAfterMillis());
+            case STALLED -> refuse(RefusalReason.SERVER_TIMEOUT, 0);
+            case CANCELLED -> refuse(RefusalReason.DEADLINE_PASSED, 0);
+            default -> refuse(RefusalReason.SERVER_LOST, 0);
+        };
+    }
+
+    private static RetryReason retryReason(FailureKind kind) {
+        return switch (kind) {
+            case CONNECT -> RetryReason.CONNECT_FAILED;
+            case SHED -> RetryReason.SERVER_SHED;
+            case TRUNCATED -> RetryReason.CONNECTION_LOST;
+            default -> null;
+        };
+    }
+
+    private boolean mayRepeat(RetryReason reason, BackendAttempt failed) {
+        boolean safe = request.isSafe() && request.key().isEmpty();
+        long nowNanos = System.nanoTime();
+        if (attempts >= parts.limits().attempts()
+                || !failed.isRepeatable()
+                || nowNanos - request.deadlineNanos() >= 0
+                || !parts.mode().mayRepeat(reason, safe)) {
+            return false;
+        }
+        int percent = parts.catalog()
+                .serviceLimits(request.service())
+                .map(limits -> limits.retryPercent())
+                .getOrElse(0);
+        if (parts.mode() == ProxyMode.FLEET && !budget.take(nowNanos, percent)) {
+            parts.meters().countRetryWithoutBudget();
+            return false;
+        }
+        return true;
+    }
+
+    /** Lets a whole response through unless the deadline passed first. */
+    private Mono<Answer> claim(Answer answer) {
+        if (answer instanceof Answer.Streamed || enter(Phase.RELAYING)) {
+            return Mono.just(answer);
+        }
+        return Mono.never();
+    }
+
+    private Mono<Answer> stream(int statusCode, HttpHeaders headers, Flux<ByteBuf> body) {
+        if (!enter(Phase.RELAYING)) {
+            return Mono.never();
+        }
+        BodyRecorder recorder = new BodyRecorder(executed);
+        progressNanos = System.nanoTime();
+        onLoop(this::watchStall);
+        outbound.status(statusCode);
+        outbound.headers(headers);
+        addAnswerHeaders(Outcome.BACKEND.label());
+        Flux<ByteBuf> observed = body.doOnNext(part -> {
+            progressNanos = System.nanoTime();
+            recorder.add(part);
+        });
+        return Mono.from(outbound.send(observed, part -> true).then())
+                .onErrorMap(
+                        error -> !(error instanceof BackendFailure),
+                        error -> new BackendFailure(FailureKind.CANCELLED, "the caller is gone: " + error, 0))
+                .doOnSuccess(done -> finishStream(statusCode, headers, recorder, true))
+                .doOnError(error -> finishStream(statusCode, headers, recorder, false))
+                .thenReturn(new Answer.Streamed());
+    }
+
+    private void finishStream(int statusCode, HttpHeaders headers, BodyRecorder recorder, boolean complete) {
+        if (keyOpen.compareAndSet(true, false)) {
+            RecordedResponse response = new RecordedResponse(
+                    statusCode, contentType(headers), recorder.bytes(), complete && !recorder.isCut());
+            parts.keyed().get().finish(request.key().get(), new KeyedOutcome.Answered(response));
+        }
+    }
+
+    private void finishKey(Answer answer) {
+        if (answer instanceof Answer.Streamed || !keyOpen.compareAndSet(true, false)) {
+            return;
+        }
+        KeyedOutcome outcome;
+        if (answer instanceof Answer.Refusal refusal) {
+            outcome = refusal.outcome() == Outcome.NOT_RUN
+                    ? new KeyedOutcome.NotRun(refusal.reason())
+                    : new KeyedOutcome.Unknown(refusal.reason());
+        } else {
+            Answer.Whole whole = (Answer.Whole) answer;
+            boolean cut = whole.body().length > ProxyLimits.RECORDED_BYTES;
+            byte[] recorded = cut ? Arrays.copyOf(whole.body(), ProxyLimits.RECORDED_BYTES) : whole.body();
+            outcome = new KeyedOutcome.Answered(
+                    new RecordedResponse(whole.statusCode(), contentType(whole.headers()), recorded, !cut));
+        }
+        parts.keyed().get().finish(request.key().get(), outcome);
+    }
+
+    private static String contentType(HttpHeaders headers) {
+        String value = headers.get(HttpHeaderNames.CONTENT_TYPE);
+        return value == null ? "" : value;
+    }
+
+    private Mono<Answer> refuse(RefusalReason reason, long retryAfterMillis) {
+        return Mono.just(refusal(reason, retryAfterMillis));
+    }
+
+    private Answer.Refusal refusal(RefusalReason reason, long retryAfterMillis) {
+        BackendAttempt last = attempt;
+        boolean mayHaveRun = earlierAttemptMayHaveRun || (last != null && last.mayHaveRun());
+        return new Answer.Refusal(reason, mayHaveRun ? Outcome.UNKNOWN : reason.outcome(), retryAfterMillis);
+    }
+
+    private Mono<Answer> refuseFault(Throwable error) {
+        if (phase.get() == Phase.RELAYING || phase.get() == Phase.ENDED) {
+            return Mono.error(error);
+        }
+        if (error instanceof RequestRefusal refused) {
+            return onLoop(Mono.defer(() -> {
+                guard.closeAfterResponse();
+                return refuse(refused.reason(), 0);
+            }));
+        }
+        return Mono.error(error);
+    }
+
+    private Mono<Void> deliver(Answer answer) {
+        if (answer instanceof Answer.Streamed) {
+            count(Outcome.BACKEND);
+            return Mono.empty();
+        }
+        if (guard.isBodyOpen()) {
+            guard.closeAfterResponse();
+        }
+        if (answer instanceof Answer.Refusal refusal) {
+            parts.meters().countRefusal(refusal.reason());
+            count(refusal.outcome());
+            return Mono.from(RefusalWriter.write(outbound, refusal, request.requestId(), isClosing()));
+        }
+        Answer.Whole whole = (Answer.Whole) answer;
+        count(Outcome.BACKEND);
+        outbound.status(whole.statusCode());
+        outbound.headers(whole.headers());
+        addAnswerHeaders(Outcome.BACKEND.label());
+        if (whole.bodyless()) {
+            return Mono.from(outbound.send());
+        }
+        outbound.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(whole.body().length));
+        if (whole.body().length == 0) {
+            return Mono.from(outbound.send());
+        }
+        return Mono.from(outbound.sendByteArray(Mono.just(whole.body())));
+    }
+
+    private void count(Outcome outcome) {
+        parts.meters().countAnswer(outcome, request.parameters().rank(), System.nanoTime() - request.arrivalNanos());
+    }
+
+    private void addAnswerHeaders(String outcome) {
+        HttpHeaders headers = outbound.responseHeaders();
+        // An answer that another daemon relayed already says what is known.
+        if (!headers.contains(CallHeaders.OUTCOME)) {
+            headers.set(CallHeaders.OUTCOME, outcome);
+        }
+        headers.set(CallHeaders.REQUEST_ID, request.requestId().toString());
+        if (isClosing()) {
+            outbound.keepAlive(false);
+        }
+    }
+
+    private boolean isClosing() {
+        return parts.gate().isDraining();
+    }
+
+    private boolean enter(Phase next) {
+        while (true) {
+            Phase current = phase.get();
+            if (current == Phase.ENDED || current == Phase.RELAYING) {
+                return false;
+            }
+            if (phase.compareAndSet(current, next)) {
+                return true;
+            }
+        }
+    }
+
+    private void passDeadline() {
+        Phase before = phase.get();
+        if (!enter(Phase.ENDED)) {
+            return;
+        }
+        switch (before) {
+            case READING -> interrupt(RefusalReason.SLOW_CALLER, FailureKind.CANCELLED);
+            case QUEUED -> interrupt(RefusalReason.DEADLINE_PASSED, FailureKind.CANCELLED);
+            default -> {
+                stopWork(FailureKind.STALLED);
+                BackendAttempt last = attempt;
+                boolean sent = last != null && last.mayHaveRun();
+                interrupt(sent ? RefusalReason.SERVER_TIMEOUT : RefusalReason.DEADLINE_PASSED, FailureKind.STALLED);
+            }
+        }
+    }
+
+    private void failBody(RefusalReason reason) {
+        if (enter(Phase.ENDED)) {
+            interrupt(reason, FailureKind.CANCELLED);
+        } else if (phase.get() == Phase.RELAYING) {
+            resetCaller();
+        }
+    }
+
+    private void interrupt(RefusalReason reason, FailureKind kind) {
+        // Stopped first: only then is it settled whether the request was written.
+        stopWork(kind);
+        interruption.tryEmitValue(refusal(reason, 0));
+    }
+
+    private void stopWork(FailureKind kind) {
+        long ticket = queuedTicket;
+        queuedTicket = 0;
+        if (ticket != 0) {
+            parts.scheduler().cancel(ticket);
+        }
+        BackendAttempt current = attempt;
+        if (current != null) {
+            current.abandon(kind);
+        }
+    }
+
+    private void callerLeft() {
+        callerGone = true;
+        parts.meters().countCallerDisconnect();
+        if (executed && phase.get() != Phase.RELAYING) {
+            return;
+        }
+        if (enter(Phase.ENDED) || phase.get() == Phase.RELAYING) {
+            stopWork(FailureKind.CANCELLED);
+        }
+    }
+
+    private void release() {
+        guard.listenForBodyFault(null);
+        if (!executed || !callerGone) {
+            deadlineTimer.cancel(false);
+        }
+        ScheduledFuture<?> timer = stallTimer;
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+
+    private void watchStall() {
+        long limitNanos = TimeUnit.MILLISECONDS.toNanos(parts.limits().stallTimeoutMillis());
+        long idleNanos = System.nanoTime() - progressNanos;
+        if (idleNanos < limitNanos) {
+            stallTimer = channel.eventLoop().schedule(this::watchStall, limitNanos - idleNanos, TimeUnit.NANOSECONDS);
+            return;
+        }
+        ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
+        boolean callerStalled = pending != null && pending.totalPendingWriteBytes() > 0;
+        stopWork(callerStalled ? FailureKind.CANCELLED : FailureKind.STALLED);
+        resetCaller();
+    }
+
+    /** Resets the caller's connection, so that no client takes the part that was relayed for the whole response. */
+    private void resetCaller() {
+        if (channel.isActive()) {
+            parts.meters().countCallerReset();
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            channel.close();
+        }
+    }
+
+    private void onLoop(Runnable action) {
+        if (channel.eventLoop().inEventLoop()) {
+            action.run();
+        } else {
+            channel.eventLoop().execute(action);
+        }
+    }
+
+    private <T> Mono<T> onLoop(Mono<T> source) {
+        return Mono.defer(() -> {
+            if (channel.eventLoop().inEventLoop()) {
+                return source;
+            }
+            return Mono.<Boolean>create(sink -> channel.eventLoop().execute(() -> sink.success(true)))
+                    .flatMap(go -> source);
+        });
+    }
+
+    /** Keeps the first bytes of a body for the record of an execution key. */
+    private static final class BodyRecorder {
+        private final boolean recording;
+        private final ByteArrayOutputStream kept = new ByteArrayOutputStream();
+        private boolean cut;
+
+        private BodyRecorder(boolean recording) {
+            this.recording = recording;
+        }
+
+        private void add(ByteBuf part) {
+            int room = ProxyLimits.RECORDED_BYTES - kept.size();
+            if (!recording) {
+                return;
+            }
+            int count = Math.min(room, part.readableBytes());
+            byte[] bytes = new byte[count];
+            part.getBytes(part.readerIndex(), bytes);
+            kept.writeBytes(bytes);
+            cut |= count < part.readableBytes();
+        }
+
+        private byte[] bytes() {
+            return kept.toByteArray();
+        }
+
+        private boolean isCut() {
+            return cut;
+        }
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerServer.java
@@ -0,0 +1,96 @@
+package org.heatherreach.transport.http;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Objects;
+
+import io.netty.channel.ChannelOption;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import org.heatherreach.transport.metric.RequestMeters;
+import reactor.netty.DisposableServer;
+import reactor.netty.NettyPipeline;
+import reactor.netty.http.HttpProtocol;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * The HTTP server for callers. Safe for use by any thread.
+ *
+ * <p>Order of a graceful shutdown: the gate leaves, then drains, then {@link #close} ends the connections, which by then
+ * are idle.
+ */
+public final class CallerServer implements AutoCloseable {
+    // The guard enforces the exact size of a head; the decoder behind it only needs not to be stricter.
+    private static final int DECODER_MARGIN_BYTES = 1024;
+    private static final int BACKLOG = 1024;
+
+    private final RequestMeters meters;
+    private final LoopResources loops;
+    private final BackendClients clients;
+    private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final DisposableServer server;
+
+    /**
+     * Binds the server and starts to serve.
+     *
+     * @param address the address to listen on; port 0 picks a free one
+     * @param ioThreads the number of event loops
+     * @param parts what the request path works with
+     * @param endpoints the daemon's own endpoints, by method, a space and the path; a path that ends with a slash
+     *     takes an argument
+     * @throws RuntimeException if the address can't be bound
+     */
+    public CallerServer(InetSocketAddress address, int ioThreads, ProxyParts parts, Map<String, Endpoint> endpoints) {
+        Objects.requireNonNull(address, "address");
+        ProxyLimits limits = parts.limits();
+        this.meters = parts.meters();
+        this.loops = LoopResources.create("http", 1, ioThreads, true);
+        this.clients = new BackendClients(limits, meters, loops);
+        this.server = HttpServer.create()
+                .bindAddress(() -> address)
+                .runOn(loops)
+                .protocol(HttpProtocol.HTTP11)
+                .channelGroup(channels)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .idleTimeout(Duration.ofMillis(limits.idleTimeoutMillis()))
+                .httpRequestDecoder(spec -> spec.maxHeaderSize(limits.headBytes() + DECODER_MARGIN_BYTES)
+                        .maxInitialLineLength(limits.headBytes() + DECODER_MARGIN_BYTES)
+                        .allowDuplicateContentLengths(false)
+                        .validateHeaders(true))
+                .doOnChannelInit((observer, channel, remote) -> {
+                    if (channels.size() > limits.connections()) {
+                        channel.close();
+                        return;
+                    }
+                    CallerGuard guard = new CallerGuard(limits, meters, parts.requestIds());
+                    channel.pipeline().addFirst(CallerGuard.NAME, guard);
+                    channel.pipeline().addAfter(NettyPipeline.HttpCodec, CallerGuard.TRACKER_NAME, guard.tracker());
+                })
+                .handle(new ProxyHandler(parts, clients, endpoints))
+                .bindNow();
+    }
+
+    /** Returns the port that the server listens on. */
+    public int port() {
+        return server.port();
+    }
+
+    /** Returns how many requests are in flight. */
+    public int inFlight() {
+        return meters.inFlight();
+    }
+
+    /** Stops listening, closes every connection and frees the event loops. */
+    @Override
+    public void close() {
+        server.disposeNow();
+        channels.close().awaitUninterruptibly();
+        clients.close();
+        loops.disposeLater(Duration.ZERO, Duration.ofSeconds(1)).block();
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/heatherreach/transport/http/LocalScheduler.java
@@ -0,0 +1,281 @@
+package org.heatherreach.transport.http;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import org.heatherreach.state.id.ServiceId;
+import org.heatherreach.state.outcome.RefusalReason;
+import org.heatherreach.state.rank.Rank;
+import org.heatherreach.transport.ring.DutyThread;
+
+/**
+ * Schedules with what one daemon knows alone: the less loaded of two random servers, local slot limits and one queue
+ * per rank, ordered by deadline.
+ *
+ * <p>Invariants: a server never runs more submissions of this daemon than it has slots; a queue never exceeds its
+ * limit; each submission that was accepted and not cancelled gets exactly one decision.
+ *
+ * <p>Thread safety: the public methods may be called by any thread; the state is confined to the duty thread.
+ */
+public final class LocalScheduler implements RequestScheduler {
+    private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+    private static final int RETRY_AFTER_MIN_MILLIS = 500;
+    private static final int RETRY_AFTER_SPREAD_MILLIS = 1000;
+
+    private final ServiceCatalog catalog;
+    private final RandomGenerator random;
+    private final DutyThread<Event> duty;
+    private final int ringCapacity;
+    private final Map<ServiceId, Pool> pools = new HashMap<>();
+    private final Map<Long, Held> held = new HashMap<>();
+    private final Queue<Overflow> overflow = new ConcurrentLinkedQueue<>();
+    private volatile long handledEvents;
+
+    /**
+     * Creates a scheduler and starts its thread.
+     *
+     * @param catalog the limits of services and ranks
+     * @param random the source of every random choice; used by the duty thread only
+     * @param ringCapacity the number of events that may wait
+     */
+    public LocalScheduler(ServiceCatalog catalog, RandomGenerator random, int ringCapacity) {
+        this.catalog = Objects.requireNonNull(catalog, "catalog");
+        this.random = Objects.requireNonNull(random, "random");
+        this.ringCapacity = ringCapacity;
+        this.duty = new DutyThread<>("schedule", ringCapacity, this::handle, this::tick, TICK_NANOS);
+        this.duty.start();
+    }
+
+    @Override
+    public boolean submit(Submission submission) {
+        return duty.offer(new Submitted(submission));
+    }
+
+    @Override
+    public void complete(long ticket, ExchangeResult result) {
+        offerAlways(new Released(ticket));
+    }
+
+    @Override
+    public void cancel(long ticket) {
+        offerAlways(new Released(ticket));
+    }
+
+    @Override
+    public void changeServers(ServiceId service, List<BackendServer> servers) {
+        offerAlways(new Changed(service, List.copyOf(servers)));
+    }
+
+    @Override
+    public void close() {
+        offerAlways(new Closing());
+        duty.close();
+    }
+
+    private void offerAlways(Event event) {
+        if (!duty.offer(event)) {
+            // Every event that is in the ring now has been handled once this many more were, so the order is kept.
+            overflow.add(new Overflow(event, handledEvents + 2L * ringCapacity));
+        }
+    }
+
+    private void handle(Event event) {
+        apply(event);
+        handledEvents++;
+        drainOverflow();
+    }
+
+    private void drainOverflow() {
+        Overflow next = overflow.peek();
+        while (next != null && (handledEvents >= next.eligibleAt() || duty.waitingEvents() == 0)) {
+            overflow.poll();
+            apply(next.event());
+            next = overflow.peek();
+        }
+    }
+
+    private void apply(Event event) {
+        if (event instanceof Submitted submitted) {
+            accept(submitted.submission());
+        } else if (event instanceof Released released) {
+            release(released.ticket());
+        } else if (event instanceof Changed changed) {
+            Pool pool = pools.computeIfAbsent(changed.service(), Pool::new);
+            pool.replace(changed.servers());
+            dispatchQueued(pool);
+        } else {
+            refuseAll();
+        }
+    }
+
+    private void tick(long nowNanos) {
+        drainOverflow();
+        for (Pool pool : pools.values()) {
+            for (Queue<Submission> queue : pool.queues.values()) {
+                while (!queue.isEmpty() && queue.peek().deadlineNanos() - nowNanos <= 0) {
+                    Submission late = queue.poll();
+                    held.remove(late.ticket());
+                    refuse(late, RefusalReason.DEADLINE_PASSED, 0);
+                }
+            }
+        }
+    }
+
+    private void accept(Submission submission) {
+        Pool pool = pools.get(submission.service());
+        if (pool == null || pool.servers.isEmpty()) {
+            refuse(submission, RefusalReason.NO_SERVER, jitteredMillis());
+            return;
+        }
+        Queue<Submission> queue = pool.queues.get(submission.rank());
+        Load load = queue.isEmpty() ? pool.choose(submission, slotsOf(pool.service), random) : null;
+        if (load != null) {
+            dispatch(pool, submission, load);
+        } else if (queue.size()
+                >= catalog.rankLimits(submission.service(), submission.rank()).queueLimit()) {
+            refuse(submission, RefusalReason.QUEUE_FULL, jitteredMillis());
+        } else {
+            queue.add(submission);
+            held.put(submission.ticket(), new Held(pool, submission, null));
+        }
+    }
+
+    private void dispatch(Pool pool, Submission submission, Load load) {
+        load.inUse++;
+        held.put(submission.ticket(), new Held(pool, submission, load));
+        submission.callback().accept(new ScheduleDecision.Dispatch(load.server));
+    }
+
+    private void release(long ticket) {
+        Held entry = held.remove(ticket);
+        if (entry == null) {
+            return;
+        }
+        if (entry.load() == null) {
+            entry.pool().queues.get(entry.submission().rank()).remove(entry.submission());
+            return;
+        }
+        entry.load().inUse--;
+        dispatchQueued(entry.pool());
+    }
+
+    private void dispatchQueued(Pool pool) {
+        int slots = slotsOf(pool.service);
+        for (Queue<Submission> queue : pool.queues.values()) {
+            while (!queue.isEmpty()) {
+                Load load = pool.choose(queue.peek(), slots, random);
+                if (load == null) {
+                    return;
+                }
+                dispatch(pool, queue.poll(), load);
+            }
+        }
+    }
+
+    private void refuseAll() {
+        for (Pool pool : pools.values()) {
+            for (Queue<Submission> queue : pool.queues.values()) {
+                while (!queue.isEmpty()) {
+                    refuse(queue.poll(), RefusalReason.SHUTTING_DOWN, jitteredMillis());
+                }
+            }
+        }
+    }
+
+    private int slotsOf(ServiceId service) {
+        return catalog.serviceLimits(service).map(limits -> limits.slots()).getOrElse(1);
+    }
+
+    private long jitteredMillis() {
+        return RETRY_AFTER_MIN_MILLIS + random.nextInt(RETRY_AFTER_SPREAD_MILLIS);
+    }
+
+    private static void refuse(Submission submission, RefusalReason reason, long retryAfterMillis) {
+        submission.callback().accept(new ScheduleDecision.Refuse(reason, retryAfterMillis));
+    }
+
+    private sealed interface Event {}
+
+    private record Submitted(Submission submission) implements Event {}
+
+    private record Released(long ticket) implements Event {}
+
+    private record Changed(ServiceId service, List<BackendServer> servers) implements Event {}
+
+    private record Closing() implements Event {}
+
+    private record Overflow(Event event, long eligibleAt) {}
+
+    /** A submission that is queued (without a load) or dispatched. */
+    private record Held(Pool pool, Submission submission, Load load) {}
+
+    private static final class Load {
+        private final BackendServer server;
+        private int inUse;
+
+        private Load(BackendServer server) {
+            this.server = server;
+        }
+    }
+
+    private static final class Pool {
+        private final ServiceId service;
+        private final Map<Rank, Queue<Submission>> queues = new EnumMap<>(Rank.class);
+        private List<Load> servers = new ArrayList<>();
+
+        private Pool(ServiceId service) {
+            this.service = service;
+            for (Rank rank : Rank.values()) {
+                queues.put(rank, new PriorityQueue<>(Comparator.comparingLong(Submission::deadlineNanos)));
+            }
+        }
+
+        private void replace(List<BackendServer> listed) {
+            Map<BackendServer, Load> known = new HashMap<>();
+            servers.forEach(load -> known.put(load.server, load));
+            List<Load> next = new ArrayList<>();
+            listed.forEach(server -> next.add(known.getOrDefault(server, new Load(server))));
+            servers = next;
+        }
+
+        private Load choose(Submission submission, int slots, RandomGenerator random) {
+            if (servers.isEmpty()) {
+                return null;
+            }
+            Load first = servers.get(random.nextInt(servers.size()));
+            Load second = servers.get(random.nextInt(servers.size()));
+            Load best = better(submission, first, second);
+            if (isUsable(submission, best, slots)) {
+                return best;
+            }
+            // Both are full or were tried, which is common with few slots, so the whole set is searched.
+            for (Load load : servers) {
+                best = better(submission, best, load);
+            }
+            return best.inUse < slots ? best : null;
+        }
+
+        private static Load better(Submission submission, Load first, Load second) {
+            boolean firstTried = submission.tried().contains(first.server.id());
+            boolean secondTried = submission.tried().contains(second.server.id());
+            if (firstTried != secondTried) {
+                return firstTried ? second : first;
+            }
+            return second.inUse < first.inUse ? second : first;
+        }
+
+        private static boolean isUsable(Submission submission, Load load, int slots) {
+            return load.inUse < slots && !submission.tried().contains(load.server.id());
+        }
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/heatherreach/transport/http/RetryBudgets.java
@@ -0,0 +1,16 @@
+package org.heatherreach.transport.http;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.heatherreach.state.id.ServiceId;
+
+/** The retry budgets of all services. Safe for use by any thread. */
+final class RetryBudgets {
+    private final Map<ServiceId, RetryBudget> budgets = new ConcurrentHashMap<>();
+
+    RetryBudget of(ServiceId service, long nowNanos) {
+        RetryBudget budget = budgets.get(service);
+        return budget != null ? budget : budgets.computeIfAbsent(service, key -> new RetryBudget(nowNanos));
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/heatherreach/transport/http/Submission.java
@@ -0,0 +1,44 @@
+package org.heatherreach.transport.http;
+
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import io.vavr.control.Option;
+import org.heatherreach.state.id.ServerId;
+import org.heatherreach.state.id.ServiceId;
+import org.heatherreach.state.id.WorkspaceId;
+import org.heatherreach.state.rank.Rank;
+
+/**
+ * One attempt to run a request, as handed to a scheduler. A retry is a new submission with a new ticket.
+ * Immutable and safe for use by any thread.
+ *
+ * @param ticket identifies the submission within the process
+ * @param service the service
+ * @param rank the rank
+ * @param workspace the workspace, if the caller named one
+ * @param fingerprint the hash by which a request that crashes servers is recognised
+ * @param deadlineNanos the deadline on the clock of {@link System#nanoTime}
+ * @param tried servers that failed this request before; another one is preferred
+ * @param callback receives the decision exactly once unless the submission is cancelled first; it is called by the
+ *     scheduler's thread and must not block
+ */
+public record Submission(
+        long ticket,
+        ServiceId service,
+        Rank rank,
+        Option<WorkspaceId> workspace,
+        long fingerprint,
+        long deadlineNanos,
+        Set<ServerId> tried,
+        Consumer<ScheduleDecision> callback) {
+    /** Creates a submission. */
+    public Submission {
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(rank, "rank");
+        Objects.requireNonNull(workspace, "workspace");
+        Objects.requireNonNull(callback, "callback");
+        tried = Set.copyOf(tried);
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/heatherreach/transport/metric/RequestMeters.java
@@ -0,0 +1,126 @@
+package org.heatherreach.transport.metric;
+
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import org.heatherreach.state.outcome.Outcome;
+import org.heatherreach.state.outcome.RefusalReason;
+import org.heatherreach.state.outcome.RetryReason;
+import org.heatherreach.state.rank.Rank;
+
+/**
+ * Counters of the request path, one per reason, registered at once so that a reason that never occurred reads 0.
+ * Safe for use by any thread.
+ */
+public final class RequestMeters {
+    private final Map<Rank, Counter> requests = new EnumMap<>(Rank.class);
+    private final Map<Outcome, Counter> answers = new EnumMap<>(Outcome.class);
+    private final Map<RefusalReason, Counter> refusals = new EnumMap<>(RefusalReason.class);
+    private final Map<RetryReason, Counter> retries = new EnumMap<>(RetryReason.class);
+    private final Map<Rank, Timer> latencies = new EnumMap<>(Rank.class);
+    private final Counter retriesWithoutBudget;
+    private final Counter callerResets;
+    private final Counter callerDisconnects;
+    private final Counter doubtfulConnections;
+    private final Counter replays;
+    private final AtomicInteger inFlight;
+
+    /** Creates the counters in a registry. */
+    public RequestMeters(MeterRegistry registry) {
+        Objects.requireNonNull(registry, "registry");
+        for (Rank rank : Rank.values()) {
+            requests.put(rank, registry.counter("heatherreach.requests", "rank", rank.label()));
+            latencies.put(
+                    rank,
+                    Timer.builder("heatherreach.request.duration")
+                            .tag("rank", rank.label())
+                            .publishPercentileHistogram()
+                            .minimumExpectedValue(Duration.ofMillis(1))
+                            .maximumExpectedValue(Duration.ofSeconds(30))
+                            .register(registry));
+        }
+        for (Outcome outcome : Outcome.values()) {
+            answers.put(outcome, registry.counter("heatherreach.answers", "outcome", outcome.label()));
+        }
+        for (RefusalReason reason : RefusalReason.values()) {
+            refusals.put(reason, registry.counter("heatherreach.refusals", "reason", reason.label()));
+        }
+        for (RetryReason reason : RetryReason.values()) {
+            retries.put(reason, registry.counter("heatherreach.retries", "reason", reason.label()));
+        }
+        retriesWithoutBudget = registry.counter("heatherreach.retries.over.budget");
+        callerResets = registry.counter("heatherreach.caller.resets");
+        callerDisconnects = registry.counter("heatherreach.caller.disconnects");
+        doubtfulConnections = registry.counter("heatherreach.backend.doubtful.connections");
+        replays = registry.counter("heatherreach.replays");
+        inFlight = registry.gauge("heatherreach.requests.in.flight", new AtomicInteger());
+    }
+
+    /** Counts a request that begins. */
+    public void begin() {
+        inFlight.incrementAndGet();
+    }
+
+    /** Counts a request that ended, however it did. */
+    public void end() {
+        inFlight.decrementAndGet();
+    }
+
+    /** Returns how many requests are in flight. */
+    public int inFlight() {
+        return inFlight.get();
+    }
+
+    /** Counts a request whose headers were accepted. */
+    public void countRequest(Rank rank) {
+        requests.get(rank).increment();
+    }
+
+    /** Counts an answer and its duration from the arrival of the request. */
+    public void countAnswer(Outcome outcome, Rank rank, long durationNanos) {
+        answers.get(outcome).increment();
+        latencies.get(rank).record(durationNanos, TimeUnit.NANOSECONDS);
+    }
+
+    /** Counts an answer that the daemon gave itself. */
+    public void countRefusal(RefusalReason reason) {
+        refusals.get(reason).increment();
+    }
+
+    /** Counts a retry. */
+    public void countRetry(RetryReason reason) {
+        retries.get(reason).increment();
+    }
+
+    /** Counts a retry that was safe but that the budget did not allow. */
+    public void countRetryWithoutBudget() {
+        retriesWithoutBudget.increment();
+    }
+
+    /** Counts a caller's connection that was reset because its answer could not be completed. */
+    public void countCallerReset() {
+        callerResets.increment();
+    }
+
+    /** Counts a caller that disconnected before its answer was complete. */
+    public void countCallerDisconnect() {
+        callerDisconnects.increment();
+    }
+
+    /** Counts a connection to a server that was closed because its state was in doubt. */
+    public void countDoubtfulConnection() {
+        doubtfulConnections.increment();
+    }
+
+    /** Counts an answer taken from the record of an execution key. */
+    public void countReplay() {
+        replays.increment();
+    }
+}
