--- /dev/null
+++ b/standins/src/main/java/org/heatherreach/standins/LinkFaults.java
@@ -0,0 +1,17 @@
+package org.heatherreach.standins;
+
+/**
+ * The faults of a link that its admin endpoint switches. "Forward" is the direction from the connecting to the accepting
+ * side. Immutable and safe for use by any thread.
+ *
+ * @param cutForward whether no byte passes forward; bytes wait as they do behind lost packets
+ * @param cutBackward whether no byte passes backward
+ * @param delayForwardMillis the delay that is added forward
+ * @param delayBackwardMillis the delay that is added backward
+ * @param refuse whether new connections are reset at once
+ */
+public record LinkFaults(
+        boolean cutForward, boolean cutBackward, int delayForwardMillis, int delayBackwardMillis, boolean refuse) {
+    /** No fault. */
+    public static final LinkFaults NONE = new LinkFaults(false, false, 0, 0, false);
+}
--- /dev/null
+++ b/standins/src/main/java/org/heatherreach/standins/LinkPump.java
@@ -0,0 +1,137 @@
+package org.heatherreach.standins;
+
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.SocketChannel;
+
+/**
+ * One direction of a relayed connection. It reads one buffer, waits for the delay, writes it, then reads on. While the
+ * direction is cut it neither writes nor reads, so the sender sees backpressure. Confined to the event loop of its
+ * channels, except that {@link #resume}, {@link #reset} and {@link #endOutput} may be called by any thread.
+ */
+final class LinkPump extends ChannelInboundHandlerAdapter {
+    private final boolean forward;
+    private final BooleanSupplier cut;
+    private final IntSupplier delayMillis;
+    private final Set<LinkPump> registry;
+    private SocketChannel source;
+    private SocketChannel sink;
+    private ByteBuf waiting;
+    private boolean ended;
+    private boolean scheduled;
+    private boolean reading;
+
+    LinkPump(boolean forward, BooleanSupplier cut, IntSupplier delayMillis, Set<LinkPump> registry) {
+        this.forward = forward;
+        this.cut = cut;
+        this.delayMillis = delayMillis;
+        this.registry = registry;
+    }
+
+    void connect(SocketChannel from, SocketChannel to) {
+        source = from;
+        sink = to;
+        registry.add(this);
+    }
+
+    boolean isForward() {
+        return forward;
+    }
+
+    void resume() {
+        source.eventLoop().execute(this::advance);
+    }
+
+    void reset() {
+        source.eventLoop().execute(() -> abort(source));
+    }
+
+    void endOutput() {
+        sink.eventLoop().execute(() -> sink.shutdownOutput());
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        reading = false;
+        waiting = (ByteBuf) message;
+        schedule();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            ended = true;
+            schedule();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        registry.remove(this);
+        if (waiting != null) {
+            waiting.release();
+            waiting = null;
+        }
+        abort(sink);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        reset();
+    }
+
+    /** Closes a channel so that its peer sees a reset. */
+    static void abort(SocketChannel channel) {
+        if (channel.isActive()) {
+            channel.config().setSoLinger(0);
+        }
+        channel.close();
+    }
+
+    private void schedule() {
+        scheduled = true;
+        source.eventLoop()
+                .schedule(
+                        () -> {
+                            scheduled = false;
+                            advance();
+                        },
+                        delayMillis.getAsInt(),
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void advance() {
+        if (scheduled || cut.getAsBoolean() || !source.isActive()) {
+            return;
+        }
+        if (waiting != null) {
+            ByteBuf buffer = waiting;
+            waiting = null;
+            sink.writeAndFlush(buffer).addListener(future -> {
+                if (future.isSuccess()) {
+                    read();
+                } else {
+                    reset();
+                }
+            });
+        } else if (ended) {
+            sink.shutdownOutput();
+        } else {
+            read();
+        }
+    }
+
+    private void read() {
+        if (!reading && waiting == null && !ended && !cut.getAsBoolean()) {
+            reading = true;
+            source.read();
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/heatherreach/standins/LinkRelay.java
@@ -0,0 +1,149 @@
+package org.heatherreach.standins;
+
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+
+/**
+ * A TCP relay between two addresses whose directions are cut, delayed, reset or half-closed. Bytes keep their order
+ * within a direction. Safe for use by any thread.
+ */
+public final class LinkRelay implements AutoCloseable {
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final Set<LinkPump> pumps = ConcurrentHashMap.newKeySet();
+    private final InetSocketAddress target;
+    private final Channel listener;
+    private final AdminServer admin;
+    private volatile LinkFaults faults = LinkFaults.NONE;
+
+    /** Listens on the given loopback address and relays each connection to the target. */
+    public LinkRelay(String host, int port, int adminPort, InetSocketAddress target) {
+        Loopback.check(host);
+        Loopback.check(target.getHostString());
+        this.target = target;
+        listener = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        accept(channel);
+                    }
+                })
+                .bind(host, port)
+                .syncUninterruptibly()
+                .channel();
+        admin = new AdminServer(
+                host,
+                adminPort,
+                routes -> routes.get("/faults", () -> faults)
+                        .post("/faults", body -> {
+                            setFaults(Json.update(faults, body, LinkFaults.class));
+                            return faults;
+                        })
+                        .post("/reset", body -> Json.object().put("reset", reset()))
+                        .post(
+                                "/half-close",
+                                body -> Json.object()
+                                        .put(
+                                                "halfClosed",
+                                                halfClose(body.path("forward").asBoolean(true)))));
+    }
+
+    /** Returns the port of the relay. */
+    public int port() {
+        return ((InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    /** Returns the port of the admin endpoint. */
+    public int adminPort() {
+        return admin.port();
+    }
+
+    /** Replaces the faults in force. A direction that is no longer cut delivers what has waited. */
+    public void setFaults(LinkFaults newFaults) {
+        faults = newFaults;
+        pumps.forEach(LinkPump::resume);
+    }
+
+    /** Returns the faults in force. */
+    public LinkFaults faults() {
+        return faults;
+    }
+
+    /** Resets all connections and returns how many directions there were. */
+    public int reset() {
+        int count = pumps.size();
+        pumps.forEach(LinkPump::reset);
+        return count;
+    }
+
+    /** Ends the output of one direction of all connections, as if the sender had shut its output down. */
+    public int halfClose(boolean forward) {
+        int count = 0;
+        for (LinkPump pump : pumps) {
+            if (pump.isForward() == forward) {
+                pump.endOutput();
+                count++;
+            }
+        }
+        return count;
+    }
+
+    /** Returns the number of connections in relay. */
+    public int connections() {
+        return pumps.size() / 2;
+    }
+
+    @Override
+    public void close() {
+        listener.close().syncUninterruptibly();
+        reset();
+        admin.close();
+        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
+    }
+
+    private void accept(SocketChannel client) {
+        if (faults.refuse()) {
+            LinkPump.abort(client);
+            return;
+        }
+        LinkPump backward = new LinkPump(false, () -> faults.cutBackward(), () -> faults.delayBackwardMillis(), pumps);
+        LinkPump forward = new LinkPump(true, () -> faults.cutForward(), () -> faults.delayForwardMillis(), pumps);
+        ChannelFuture connecting = new Bootstrap()
+                .group(client.eventLoop())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.AUTO_READ, false)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .handler(backward)
+                .connect(target);
+        SocketChannel server = (SocketChannel) connecting.channel();
+        client.pipeline().addLast(forward);
+        forward.connect(client, server);
+        backward.connect(server, client);
+        connecting.addListener(future -> {
+            if (future.isSuccess()) {
+                forward.resume();
+                backward.resume();
+            } else {
+                pumps.remove(backward);
+                LinkPump.abort(client);
+            }
+        });
+    }
+}
--- a/standins/src/main/java/org/heatherreach/standins/StandInMain.java
+++ b/standins/src/main/java/org/heatherreach/standins/StandInMain.java
@@ -21,6 +21,8 @@
         Map<String, StandInCommand> commands = new LinkedHashMap<>();
         commands.put("backend", new BackendCommand());
         commands.put("store", new StoreCommand());
+        commands.put("vms", new VmsCommand());
+        commands.put("link", new LinkCommand());
         JCommander commander = JCommander.newBuilder()
                 .addObject(program)
                 .programName("heatherreach-standin")
--- /dev/null
+++ b/standins/src/test/java/org/heatherreach/standins/LinkRelayTest.java
@@ -0,0 +1,85 @@
+package org.heatherreach.standins;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+
+import net.jqwik.api.Example;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class LinkRelayTest {
+    // Guards against a one-way cut that stops both directions, and against bytes lost when the cut ends.
+    @Example
+    void cutsOneDirectionAlone() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+                LinkRelay relay = relayTo(listener);
+                Socket client = new Socket("127.0.0.1", relay.port());
+                Socket server = listener.accept()) {
+            client.getOutputStream().write('a');
+            assertThat(server.getInputStream().read()).isEqualTo('a');
+            relay.setFaults(new LinkFaults(true, false, 0, 0, false));
+            client.getOutputStream().write('b');
+            server.getOutputStream().write('c');
+            assertThat(client.getInputStream().read()).isEqualTo('c');
+            server.setSoTimeout(200);
+            assertThatThrownBy(() -> server.getInputStream().read()).isInstanceOf(SocketTimeoutException.class);
+            relay.setFaults(LinkFaults.NONE);
+            server.setSoTimeout(5000);
+            assertThat(server.getInputStream().read()).isEqualTo('b');
+        }
+    }
+
+    // Guards against a half-close that closes the whole connection, and against a reset that looks like a normal end.
+    @Example
+    void halfClosesAndResets() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+                LinkRelay relay = relayTo(listener);
+                Socket client = new Socket("127.0.0.1", relay.port());
+                Socket server = listener.accept()) {
+            client.setSoTimeout(5000);
+            server.setSoTimeout(5000);
+            client.getOutputStream().write('a');
+            assertThat(server.getInputStream().read()).isEqualTo('a');
+            assertThat(relay.halfClose(true)).isEqualTo(1);
+            assertThat(server.getInputStream().read()).isEqualTo(-1);
+            server.getOutputStream().write('d');
+            assertThat(client.getInputStream().read()).isEqualTo('d');
+            relay.reset();
+            assertThatThrownBy(() -> client.getInputStream().read()).isInstanceOf(SocketException.class);
+        }
+    }
+
+    // Guards against a list that shows a change before its lag, which would hide races with slow news.
+    @Example
+    void vmListLags() throws Exception {
+        try (VmListServer vms = new VmListServer("127.0.0.1", 0, 0, 3_600_000)) {
+            vms.set(java.util.List.of(
+                    new VmListServer.Vm("v1", "127.0.0.1:1", "a", "benchdesk", VmListServer.State.live)));
+            assertThat(fetch(vms)).isEqualTo("{\"vms\":[]}");
+            vms.setFaults(0, false);
+            assertThat(fetch(vms))
+                    .isEqualTo("{\"vms\":[{\"id\":\"v1\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\","
+                            + "\"service\":\"benchdesk\",\"state\":\"live\"}]}");
+        }
+    }
+
+    private static String fetch(VmListServer vms) throws IOException, InterruptedException {
+        return java.net.http.HttpClient.newHttpClient()
+                .send(
+                        java.net.http.HttpRequest.newBuilder(
+                                        java.net.URI.create("http://127.0.0.1:" + vms.port() + "/v1/vms"))
+                                .build(),
+                        java.net.http.HttpResponse.BodyHandlers.ofString())
+                .body();
+    }
+
+    private static LinkRelay relayTo(ServerSocket listener) {
+        return new LinkRelay("127.0.0.1", 0, 0, new InetSocketAddress("127.0.0.1", listener.getLocalPort()));
+    }
+}
--- /dev/null
+++ b/state/src/main/java/org/heatherreach/state/table/CellConflict.java
@@ -0,0 +1,19 @@
+package org.heatherreach.state.table;
+
+/**
+ * One cell that two operators changed differently. Immutable and safe for use by any thread.
+ *
+ * @param row the name of the row
+ * @param column the column
+ * @param base the text that both started from, empty for none
+ * @param mine the text of the rejected change, empty for none
+ * @param theirs the text of the accepted change, empty for none
+ */
+public record CellConflict(String row, TableColumn column, String base, String mine, String theirs) {
+    /** Returns the line that operators see. */
+    @Override
+    public String toString() {
+        return row + " " + column.label() + ": was " + CellChange.show(base) + ", yours " + CellChange.show(mine)
+                + ", theirs " + CellChange.show(theirs);
+    }
+}
--- /dev/null
+++ b/state/src/main/java/org/heatherreach/state/table/SortedNames.java
@@ -0,0 +1,93 @@
+package org.heatherreach.state.table;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/**
+ * Sorted distinct ASCII names in one array of bytes. A name costs its length plus 4 bytes, where a string in a hash
+ * map costs about 100. Immutable and safe for use by any thread.
+ */
+final class SortedNames {
+    private final byte[] text;
+    private final int[] offsets;
+
+    /** Takes names that are sorted, distinct and ASCII. */
+    SortedNames(List<String> sorted) {
+        offsets = new int[sorted.size() + 1];
+        int length = 0;
+        for (int i = 0; i < sorted.size(); i++) {
+            offsets[i] = length;
+            length += sorted.get(i).length();
+        }
+        offsets[sorted.size()] = length;
+        text = new byte[length];
+        for (int i = 0; i < sorted.size(); i++) {
+            byte[] name = sorted.get(i).getBytes(StandardCharsets.US_ASCII);
+            System.arraycopy(name, 0, text, offsets[i], name.length);
+        }
+    }
+
+    int size() {
+        return offsets.length - 1;
+    }
+
+    String get(int index) {
+        return new String(text, offsets[index], length(index), StandardCharsets.US_ASCII);
+    }
+
+    int length(int index) {
+        return offsets[index + 1] - offsets[index];
+    }
+
+    /** Returns the last character of a name. */
+    char last(int index) {
+        return (char) text[offsets[index + 1] - 1];
+    }
+
+    /** Returns the index of a name, or -1. */
+    int find(CharSequence name) {
+        int floor = floor(name, name.length());
+        return floor >= 0 && length(floor) == name.length() && isPrefix(floor, name, name.length()) ? floor : -1;
+    }
+
+    /** Returns the index of the greatest name that is not greater than the first characters of the text, or -1. */
+    int floor(CharSequence other, int otherLength) {
+        int low = 0;
+        int high = size() - 1;
+        while (low <= high) {
+            int middle = low + high >>> 1;
+            if (compare(middle, other, otherLength) <= 0) {
+                low = middle + 1;
+            } else {
+                high = middle - 1;
+            }
+        }
+        return high;
+    }
+
+    /** Returns whether a name is a prefix of the first characters of the text. */
+    boolean isPrefix(int index, CharSequence other, int otherLength) {
+        int length = length(index);
+        if (length > otherLength) {
+            return false;
+        }
+        for (int i = 0; i < length; i++) {
+            if ((text[offsets[index] + i] & 0xff) != other.charAt(i)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private int compare(int index, CharSequence other, int otherLength) {
+        int length = length(index);
+        int common = Math.min(length, otherLength);
+        for (int i = 0; i < common; i++) {
+            int difference = (text[offsets[index] + i] & 0xff) - other.charAt(i);
+            if (difference != 0) {
+                return difference;
+            }
+        }
+        return length - otherLength;
+    }
+}
