--- /dev/null
+++ b/bench/src/main/java/org/heatherreach/bench/trial/TrialFleet.java
@@ -0,0 +1,196 @@
+package org.heatherreach.bench.trial;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.heatherreach.daemon.DaemonMain;
+import org.heatherreach.standins.StandInMain;
+
+/**
+ * The processes of one small site on loopback: a key-value service, backend servers of two services, and daemons in
+ * three zones. Confined to one thread. Closing it ends every process that it started.
+ */
+public final class TrialFleet implements AutoCloseable {
+    private static final int READY_MILLIS = 20_000;
+    private static final String HOST = "127.0.0.1";
+
+    private final Path directory;
+    private final List<ProgramProcess> processes = new ArrayList<>();
+    private final Map<String, List<Backend>> backendsByService = new LinkedHashMap<>();
+    private final List<Daemon> daemons = new ArrayList<>();
+
+    /**
+     * A backend server of the trial.
+     *
+     * @param name its name
+     * @param zone its zone
+     * @param port its port for daemons
+     * @param adminPort the port that switches its faults
+     * @param process its process
+     */
+    public record Backend(String name, String zone, int port, int adminPort, ProgramProcess process) {}
+
+    /**
+     * A daemon of the trial.
+     *
+     * @param name its name
+     * @param zone its zone
+     * @param port its port for callers
+     * @param process its process
+     */
+    public record Daemon(String name, String zone, int port, ProgramProcess process) {
+        /** Returns the address for callers. */
+        public String address() {
+            return HOST + ':' + port;
+        }
+    }
+
+    /**
+     * Creates a fleet without processes.
+     *
+     * @throws IOException if the directory can't be made
+     */
+    public TrialFleet(Path directory) throws IOException {
+        this.directory = Files.createDirectories(directory);
+    }
+
+    /**
+     * Starts the key-value service.
+     *
+     * @throws IOException if it does not get ready
+     */
+    public ProgramProcess startStore() throws IOException {
+        int port = freePort();
+        ProgramProcess store = start("store", StandInMain.class, List.of("store", "--port", Integer.toString(port)));
+        store.awaitReady(() -> accepts(port), READY_MILLIS);
+        return store;
+    }
+
+    /**
+     * Starts the backend servers of a service, spread over zones.
+     *
+     * @throws IOException if one does not get ready
+     */
+    public void startBackends(String service, int count, int slots, int connections) throws IOException {
+        List<Backend> backends = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            int port = freePort();
+            int adminPort = freePort();
+            String name = service + '-' + (i + 1);
+            ProgramProcess process = start(
+                    name,
+                    StandInMain.class,
+                    List.of(
+                            "backend",
+                            "--port",
+                            Integer.toString(port),
+                            "--admin-port",
+                            Integer.toString(adminPort),
+                            "--slots",
+                            Integer.toString(slots),
+                            "--queue",
+                            "4",
+                            "--connections",
+                            Integer.toString(connections)));
+            backends.add(new Backend(name, "zone-" + (i % 3 + 1), port, adminPort, process));
+        }
+        backendsByService.put(service, backends);
+        for (Backend backend : backends) {
+            backend.process().awaitReady(() -> accepts(backend.port()), READY_MILLIS);
+        }
+    }
+
+    /**
+     * Starts the daemons, spread over three zones.
+     *
+     * @throws IOException if one does not get ready
+     */
+    public void startDaemons(int count, int slots) throws IOException {
+        List<Integer> ports = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            ports.add(freePort());
+        }
+        for (int i = 0; i < count; i++) {
+            String name = "daemon-" + (i + 1);
+            Path settings = directory.resolve(name + ".ini");
+            Files.writeString(settings, settingsOf(i, ports, slots));
+            ProgramProcess process = start(name, DaemonMain.class, List.of("--config", settings.toString()));
+            daemons.add(new Daemon(name, "zone-" + (i % 3 + 1), ports.get(i), process));
+        }
+        for (Daemon daemon : daemons) {
+            daemon.process().awaitReady(() -> accepts(daemon.port()), READY_MILLIS);
+        }
+    }
+
+    /** Returns the daemons in the order in which they were started. */
+    public List<Daemon> daemons() {
+        return List.copyOf(daemons);
+    }
+
+    /** Returns the backend servers of a service. */
+    public List<Backend> backends(String service) {
+        return List.copyOf(backendsByService.get(service));
+    }
+
+    /** Ends every process. */
+    @Override
+    public void close() {
+        processes.forEach(ProgramProcess::close);
+    }
+
+    private ProgramProcess start(String name, Class<?> mainClass, List<String> arguments) throws IOException {
+        ProgramProcess process = new ProgramProcess(name, directory, mainClass, arguments);
+        processes.add(process);
+        return process;
+    }
+
+    private String settingsOf(int index, List<Integer> ports, int slots) {
+        StringBuilder text = new StringBuilder();
+        text.append("[daemon]\nname = daemon-").append(index + 1);
+        text.append("\nzone = zone-").append(index % 3 + 1);
+        text.append("\n[listen]\naddress = ").append(HOST).append(':').append(ports.get(index));
+        text.append("\nio_threads = 2\n[addresses]\nkeep_ms = 1000\ndaemons = ");
+        List<String> others = new ArrayList<>();
+        for (int i = 0; i < ports.size(); i++) {
+            if (i != index) {
+                others.add("daemon-" + (i + 1) + '@' + HOST + ':' + ports.get(i) + "/zone-" + (i % 3 + 1));
+            }
+        }
+        text.append(String.join(", ", others)).append("\n[log]\nformat = json\n");
+        backendsByService.forEach((service, backends) -> {
+            text.append("[service:").append(service).append("]\nslots = ").append(slots);
+            text.append("\nservers = ");
+            text.append(String.join(
+                    ", ",
+                    backends.stream()
+                            .map(backend -> backend.name() + '@' + HOST + ':' + backend.port() + '/' + backend.zone())
+                            .toList()));
+            text.append('\n');
+        });
+        return text.toString();
+    }
+
+    static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    static boolean accepts(int port) {
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(HOST, port), 200);
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
