--- a/coordination/src/main/java/org/heatherreach/coordination/slot/LeasedSlotPool.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/LeasedSlotPool.java
@@ -372,9 +372,10 @@
             }
         }
         drain(nowNanos, actions);
-        if (nowNanos - lastReportNanos >= REPORT_NANOS && isActive()) {
-            reportWanted = true;
+        if (nowNanos - lastReportNanos >= REPORT_NANOS) {
+            reportWanted |= isActive();
             report(nowNanos, actions);
+            lastReportNanos = nowNanos;
         }
         servers.values().removeIf(server -> server.sharePercent == 0 && server.held == 0 && server.inUse == 0);
         return actions;
@@ -382,7 +383,7 @@
 
     @Override
     public long nextDeadlineNanos() {
-        if (reportWanted) {
+        if (reportWanted && owner != null) {
             return lastReportNanos + MIN_REPORT_GAP_NANOS;
         }
         long nextNanos = lastReportNanos + REPORT_NANOS;
