--- a/bench/src/main/java/org/heatherreach/bench/BenchMain.java
+++ b/bench/src/main/java/org/heatherreach/bench/BenchMain.java
@@ -7,10 +7,11 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import org.heatherreach.bench.detection.DetectionBenchmark;
 
 /** Entry point of {@code bench}. Confined to the main thread. */
 public final class BenchMain {
-    private static final List<Benchmark> BENCHMARKS = List.of();
+    private static final List<Benchmark> BENCHMARKS = List.of(new DetectionBenchmark());
 
     @Parameter(names = "--seed", description = "Seed of every random choice")
     private long seed = 1;
--- a/coordination/src/main/java/org/heatherreach/coordination/health/EjectionGuard.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/EjectionGuard.java
@@ -11,7 +11,6 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 
 import org.heatherreach.state.id.IncarnationId;
@@ -58,8 +57,8 @@
     /** Replaces the server list. Verdicts about servers that are no longer listed are dropped. */
     public List<HealthAction> updateServers(
             Collection<ServerId> newListed, Collection<ServerId> newUnavailable, long nowNanos) {
-        listed = new TreeSet<>(newListed);
-        Set<ServerId> both = new TreeSet<>(newUnavailable);
+        listed = new HashSet<>(newListed);
+        Set<ServerId> both = new HashSet<>(newUnavailable);
         both.retainAll(listed);
         unavailable = both;
         verdictsByServer.keySet().retainAll(listed);
