--- a/coordination/src/main/java/org/heatherreach/coordination/health/ServerRecord.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/ServerRecord.java
@@ -10,7 +10,7 @@
  */
 final class ServerRecord {
     /** The weight of older windows in the recent counts: half of it is gone after two windows. */
-    private static final double RECENT_DECAY = 0.7;
+    static final double RECENT_DECAY = 0.7;
 
     /**
      * Limits what one tick adds to a score to a third of the limit, so that at least three ticks must agree. A pause of
@@ -118,10 +118,10 @@
         return mass;
     }
 
-    double addRecentLatency(double[] target) {
+    double addRecentLatency(double[] target, double factor) {
         double mass = 0;
         for (int i = 0; i < target.length; i++) {
-            target[i] += recentLatency[i];
+            target[i] += factor * recentLatency[i];
             mass += recentLatency[i];
         }
         return mass;
@@ -149,6 +149,10 @@
         return recentByScope[scope];
     }
 
+    double recentFailures() {
+        return recentFailures;
+    }
+
     double recentFailureRatio() {
         return recentRequests == 0 ? 0 : recentFailures / recentRequests;
     }
