--- /dev/null
+++ b/protocol/src/main/java/org/heatherreach/protocol/kv/Operation.java
@@ -0,0 +1,46 @@
+package org.heatherreach.protocol.kv;
+
+import java.util.Objects;
+
+/** One step of a transaction. Immutable, except that values are not copied. */
+public sealed interface Operation {
+    /**
+     * Sets a key.
+     *
+     * @param key the key
+     * @param value the value
+     * @param leaseId the lease that the key ends with, or 0
+     */
+    record Put(String key, byte[] value, long leaseId) implements Operation {
+        /** Creates a step. */
+        public Put {
+            Objects.requireNonNull(key, "key");
+            Objects.requireNonNull(value, "value");
+        }
+    }
+
+    /**
+     * Deletes keys.
+     *
+     * @param range the keys
+     */
+    record Delete(KeyRange range) implements Operation {
+        /** Creates a step. */
+        public Delete {
+            Objects.requireNonNull(range, "range");
+        }
+    }
+
+    /**
+     * Reads keys.
+     *
+     * @param range the keys
+     * @param keysOnly whether the values are left out
+     */
+    record Range(KeyRange range, boolean keysOnly) implements Operation {
+        /** Creates a step. */
+        public Range {
+            Objects.requireNonNull(range, "range");
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/heatherreach/protocol/kv/TransactionResult.java
@@ -0,0 +1,17 @@
+package org.heatherreach.protocol.kv;
+
+import java.util.List;
+
+/**
+ * The result of a transaction. Immutable.
+ *
+ * @param revision the revision of the store after the transaction
+ * @param succeeded whether all conditions held
+ * @param steps for each step the keys that it read, empty for a step that writes
+ */
+public record TransactionResult(long revision, boolean succeeded, List<List<KeyValue>> steps) {
+    /** Creates a result. */
+    public TransactionResult {
+        steps = List.copyOf(steps);
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/heatherreach/transport/kv/TableStore.java
@@ -0,0 +1,459 @@
+package org.heatherreach.transport.kv;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.heatherreach.protocol.kv.Compare;
+import org.heatherreach.protocol.kv.KeyRange;
+import org.heatherreach.protocol.kv.KeyValue;
+import org.heatherreach.protocol.kv.KeyValueFormatException;
+import org.heatherreach.protocol.kv.Operation;
+import org.heatherreach.protocol.kv.TableHead;
+import org.heatherreach.protocol.kv.Transaction;
+import org.heatherreach.protocol.kv.WatchEvent;
+import org.heatherreach.state.table.Table;
+import org.heatherreach.state.table.TableChunk;
+import org.heatherreach.state.table.TableChunks;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * The table in the key-value service: chunks by their hash, a head key that lists them, and the last heads as history.
+ *
+ * <p>Invariants: the head changes by compare-and-swap only, in one transaction with its history entry. That transaction
+ * also requires that the collection marker has not changed since the chunks were listed. Each removal of chunks changes
+ * the marker in the same transaction, so a change never refers to a chunk that was removed in between.
+ *
+ * <p>Calls that failed for a time are repeated with jittered delays for a bounded number of attempts. Safe for use by
+ * any thread.
+ */
+public final class TableStore {
+    /** The key that lists the chunks of the newest table. */
+    public static final String HEAD_KEY = "/heatherreach/table/head";
+
+    /** The number of heads that the history keeps. */
+    public static final int HISTORY_LIMIT = 50;
+
+    private static final String CHUNK_PREFIX = "/heatherreach/table/chunks/";
+    private static final String HISTORY_PREFIX = "/heatherreach/table/history/";
+    private static final String MARKER_KEY = "/heatherreach/table/collection";
+
+    /** One transaction writes no more than this, which leaves room for base64 below 1 MB. */
+    private static final int BATCH_LIMIT_BYTES = TableChunks.LIMIT_BYTES;
+
+    private static final int WRITE_BATCH_LIMIT = 100;
+    /** One response holds no more than this many chunks, at most 8 MB. */
+    private static final int READ_BATCH_LIMIT = 16;
+
+    private static final int ATTEMPT_LIMIT = 8;
+    private static final long FIRST_DELAY_MILLIS = 50;
+    private static final long DELAY_LIMIT_MILLIS = 1000;
+
+    private final KeyValueStore store;
+    private final RandomGenerator random;
+    private volatile Map<String, TableChunk> known = Map.of();
+
+    /** Creates a table store; it makes no call yet. */
+    public TableStore(KeyValueStore store, RandomGenerator random) {
+        this.store = store;
+        this.random = random;
+    }
+
+    /** Reads the newest table; empty if none was ever accepted. Chunks that were read before are not read again. */
+    public Mono<Either<TableStoreError, Option<TableSnapshot>>> read() {
+        return then(
+                readHead(),
+                head -> head.isEmpty()
+                        ? right(Option.none())
+                        : map(load(head.get().version(), head.get().head()), Option::some));
+    }
+
+    /** Reads the newest head without the table; empty if none was ever accepted. One call. */
+    public Mono<Either<TableStoreError, Option<TableVersion>>> readHead() {
+        return then(
+                retry(() -> store.range(KeyRange.of(HEAD_KEY), false)),
+                result -> result.values().isEmpty()
+                        ? right(Option.none())
+                        : Mono.just(parseHead(result.values().get(0)).map(Option::some)));
+    }
+
+    /** Reads the table of a head that a watch reported. */
+    public Mono<Either<TableStoreError, TableSnapshot>> read(KeyValue headEntry) {
+        return then(Mono.just(parseHead(headEntry)), version -> load(version.version(), version.head()));
+    }
+
+    /** Reads a table of the history. */
+    public Mono<Either<TableStoreError, TableSnapshot>> read(TableVersion version) {
+        return load(version.version(), version.head());
+    }
+
+    /** Reads the last heads, the newest first. */
+    public Mono<Either<TableStoreError, List<TableVersion>>> history() {
+        return then(retry(() -> store.range(KeyRange.prefix(HISTORY_PREFIX), false)), result -> {
+            List<TableVersion> versions = new ArrayList<>();
+            for (KeyValue entry : result.values()) {
+                Either<TableStoreError, TableVersion> version = parseHead(entry);
+                if (version.isLeft()) {
+                    return left(version.getLeft());
+                }
+                versions.add(0, version.get());
+            }
+            return right(versions);
+        });
+    }
+
+    /**
+     * Reports changes of the head key from a revision on. The watch continues after interruptions, see
+     * {@link KeyValueStore#watch}.
+     */
+    public Flux<Either<KeyValueError, WatchEvent>> watch(long startRevision) {
+        return store.watch(KeyRange.of(HEAD_KEY), startRevision);
+    }
+
+    /**
+     * Applies a change if the table is still the one that the change started from. After a lost response the head or
+     * the history tells whether the change was accepted.
+     */
+    public Mono<Either<TableStoreError, ApplyResult>> apply(TableChange change) {
+        return Mono.defer(() -> attempt(new Attempt(change, TableChunks.split(change.table()), 1, false)));
+    }
+
+    /**
+     * Removes chunks to which neither the head nor the history refers, and returns how many. Chunks that are newer than
+     * the head may belong to a change in progress and are kept. Does nothing if another change interferes.
+     */
+    public Mono<Either<TableStoreError, Integer>> collectGarbage() {
+        return then(readInventory(), inventory -> {
+            if (inventory.head().isEmpty()) {
+                return right(0);
+            }
+            Set<String> used = new HashSet<>(inventory.head().get().head().chunks());
+            inventory.history().forEach(version -> used.addAll(version.head().chunks()));
+            List<String> unused = new ArrayList<>();
+            inventory.chunks().forEach((hash, modRevision) -> {
+                if (!used.contains(hash) && modRevision < inventory.headVersion()) {
+                    unused.add(hash);
+                }
+            });
+            return unused.isEmpty() ? right(0) : remove(unused, inventory);
+        });
+    }
+
+    private Mono<Either<TableStoreError, Integer>> remove(List<String> unused, Inventory inventory) {
+        List<String> batch = unused.subList(0, Math.min(WRITE_BATCH_LIMIT, unused.size()));
+        List<Operation> steps = new ArrayList<>();
+        steps.add(new Operation.Put(MARKER_KEY, new byte[0], 0));
+        batch.forEach(hash -> steps.add(new Operation.Delete(KeyRange.of(CHUNK_PREFIX + hash))));
+        Transaction removal = new Transaction(inventory.conditions(), steps, List.of());
+        return store.transact(removal)
+                .map(result -> result.fold(
+                        error -> error instanceof KeyValueError.Conflict
+                                ? Either.right(0)
+                                : Either.left(new TableStoreError.StoreFailed(error)),
+                        done -> Either.right(batch.size())));
+    }
+
+    private Mono<Either<TableStoreError, ApplyResult>> attempt(Attempt attempt) {
+        return then(readInventory(attempt), inventory -> {
+            TableChange change = attempt.change();
+            Option<Long> accepted = inventory.find(change.changeId());
+            if (accepted.isDefined()) {
+                return right(new ApplyResult.Accepted(accepted.get()));
+            }
+            if (inventory.headVersion() != change.baseVersion()) {
+                // The head moved on, so the swap of this change can't succeed any more, even if it is still on its way.
+                return inventory.head().isEmpty()
+                        ? right(new ApplyResult.Superseded(Option.none()))
+                        : map(
+                                load(
+                                        inventory.headVersion(),
+                                        inventory.head().get().head()),
+                                current -> new ApplyResult.Superseded(Option.some(current)));
+            }
+            return store(attempt.chunks(), inventory.chunks().keySet())
+                    .flatMap(stored ->
+                            stored.isLeft() ? left(attempt.failure(stored.getLeft())) : commit(attempt, inventory));
+        });
+    }
+
+    private Mono<Either<TableStoreError, ApplyResult>> commit(Attempt attempt, Inventory inventory) {
+        TableChange change = attempt.change();
+        long sequence = inventory.head().map(head -> head.head().sequence() + 1).getOrElse(0L);
+        byte[] head = new TableHead(
+                        change.changeId(),
+                        change.author(),
+                        change.comment(),
+                        sequence,
+                        change.baseVersion(),
+                        change.epochMillis(),
+                        attempt.chunks().stream().map(TableChunk::hash).toList())
+                .toBytes();
+        List<Operation> steps = new ArrayList<>();
+        steps.add(new Operation.Put(HEAD_KEY, head, 0));
+        steps.add(new Operation.Put(historyKey(sequence), head, 0));
+        if (sequence >= HISTORY_LIMIT) {
+            steps.add(new Operation.Delete(KeyRange.of(historyKey(sequence - HISTORY_LIMIT))));
+        }
+        return store.transact(new Transaction(inventory.conditions(), steps, List.of()))
+                .flatMap(result -> result.fold(
+                        error -> again(
+                                error instanceof KeyValueError.UnknownEffect ? attempt.uncertain() : attempt, error),
+                        done -> right(new ApplyResult.Accepted(done.revision()))));
+    }
+
+    /** Starts over after a failure; what the failed calls changed shows in the next inventory. */
+    private Mono<Either<TableStoreError, ApplyResult>> again(Attempt attempt, KeyValueError error) {
+        boolean repeatable = error.isTransient() || error instanceof KeyValueError.Conflict;
+        if (!repeatable || attempt.number() >= ATTEMPT_LIMIT) {
+            return left(attempt.failure(error));
+        }
+        return Mono.delay(delay(attempt.number())).then(Mono.defer(() -> attempt(attempt.next())));
+    }
+
+    private Mono<Either<KeyValueError, Integer>> store(List<TableChunk> chunks, Set<String> present) {
+        Map<String, TableChunk> missing = new LinkedHashMap<>();
+        chunks.stream()
+                .filter(chunk -> !present.contains(chunk.hash()))
+                .forEach(chunk -> missing.put(chunk.hash(), chunk));
+        List<Transaction> batches = new ArrayList<>();
+        List<Operation> batch = new ArrayList<>();
+        int bytes = 0;
+        for (TableChunk chunk : missing.values()) {
+            boolean full = bytes + chunk.content().length > BATCH_LIMIT_BYTES || batch.size() == WRITE_BATCH_LIMIT;
+            if (full && !batch.isEmpty()) {
+                batches.add(Transaction.of(batch));
+                batch = new ArrayList<>();
+                bytes = 0;
+            }
+            batch.add(new Operation.Put(CHUNK_PREFIX + chunk.hash(), chunk.content(), 0));
+            bytes += chunk.content().length;
+        }
+        if (!batch.isEmpty()) {
+            batches.add(Transaction.of(batch));
+        }
+        // Chunks are named by their content, so repeating a write whose effect is unknown is harmless.
+        return Flux.fromIterable(batches)
+                .concatMap(transaction -> retry(() -> store.transact(transaction)))
+                .takeUntil(Either::isLeft)
+                .collectList()
+                .map(results -> results.stream()
+                        .filter(Either::isLeft)
+                        .findFirst()
+                        .<Either<KeyValueError, Integer>>map(failed -> Either.left(failed.getLeft()))
+                        .orElse(Either.right(missing.size())));
+    }
+
+    private Mono<Either<TableStoreError, TableSnapshot>> load(long version, TableHead head) {
+        Map<String, TableChunk> cached = known;
+        Set<String> missing = new LinkedHashSet<>(head.chunks());
+        missing.removeAll(cached.keySet());
+        List<List<String>> batches = new ArrayList<>();
+        List<String> hashes = List.copyOf(missing);
+        for (int i = 0; i < hashes.size(); i += READ_BATCH_LIMIT) {
+            batches.add(hashes.subList(i, Math.min(hashes.size(), i + READ_BATCH_LIMIT)));
+        }
+        return Flux.fromIterable(batches)
+                .concatMap(this::fetch)
+                .takeUntil(Either::isLeft)
+                .collectList()
+                .map(results -> {
+                    Map<String, TableChunk> available = new HashMap<>(cached);
+                    for (Either<TableStoreError, List<TableChunk>> result : results) {
+                        if (result.isLeft()) {
+                            return Either.left(result.getLeft());
+                        }
+                        result.get().forEach(chunk -> available.put(chunk.hash(), chunk));
+                    }
+                    return join(version, head, available);
+                });
+    }
+
+    private Mono<Either<TableStoreError, List<TableChunk>>> fetch(List<String> hashes) {
+        List<Operation> steps = new ArrayList<>();
+        hashes.forEach(hash -> steps.add(new Operation.Range(KeyRange.of(CHUNK_PREFIX + hash), false)));
+        return map(retry(() -> store.transact(Transaction.of(steps))).map(this::convert), result -> {
+            List<TableChunk> chunks = new ArrayList<>();
+            result.steps()
+                    .forEach(entries -> entries.forEach(entry ->
+                            chunks.add(new TableChunk(entry.key().substring(CHUNK_PREFIX.length()), entry.value()))));
+            return chunks;
+        });
+    }
+
+    private Either<TableStoreError, TableSnapshot> join(
+            long version, TableHead head, Map<String, TableChunk> available) {
+        List<TableChunk> chunks = new ArrayList<>();
+        Map<String, TableChunk> used = new HashMap<>();
+        for (String hash : head.chunks()) {
+            TableChunk chunk = available.get(hash);
+            if (chunk == null) {
+                return Either.left(new TableStoreError.Damaged(
+                        "chunk " + hash + " of version " + version + " is missing", List.of()));
+            }
+            chunks.add(chunk);
+            used.put(hash, chunk);
+        }
+        Either<TableStoreError, Table> table = TableChunks.join(chunks)
+                .mapLeft(problems -> new TableStoreError.Damaged(
+                        "version " + version + " breaks rules: " + problems.get(0), problems));
+        table.forEach(joined -> known = used);
+        return table.map(joined -> new TableSnapshot(version, head, joined));
+    }
+
+    private Mono<Either<TableStoreError, Inventory>> readInventory(Attempt attempt) {
+        return readInventory()
+                .map(result -> result.mapLeft(error ->
+                        error instanceof TableStoreError.StoreFailed failed ? attempt.failure(failed.error()) : error));
+    }
+
+    /** Reads head, marker, history and the names of the chunks at one revision. */
+    private Mono<Either<TableStoreError, Inventory>> readInventory() {
+        Transaction reading = Transaction.of(List.of(
+                new Operation.Range(KeyRange.of(HEAD_KEY), false),
+                new Operation.Range(KeyRange.of(MARKER_KEY), true),
+                new Operation.Range(KeyRange.prefix(HISTORY_PREFIX), false),
+                new Operation.Range(KeyRange.prefix(CHUNK_PREFIX), true)));
+        return then(retry(() -> store.transact(reading)), result -> {
+            List<TableVersion> history = new ArrayList<>();
+            Option<TableVersion> head = Option.none();
+            for (KeyValue entry : result.steps().get(0)) {
+                Either<TableStoreError, TableVersion> parsed = parseHead(entry);
+                if (parsed.isLeft()) {
+                    return left(parsed.getLeft());
+                }
+                head = Option.some(parsed.get());
+            }
+            for (KeyValue entry : result.steps().get(2)) {
+                Either<TableStoreError, TableVersion> parsed = parseHead(entry);
+                if (parsed.isLeft()) {
+                    return left(parsed.getLeft());
+                }
+                history.add(parsed.get());
+            }
+            long marker = result.steps().get(1).stream()
+                    .mapToLong(KeyValue::modRevision)
+                    .findFirst()
+                    .orElse(0);
+            Map<String, Long> chunks = new LinkedHashMap<>();
+            result.steps()
+                    .get(3)
+                    .forEach(entry -> chunks.put(entry.key().substring(CHUNK_PREFIX.length()), entry.modRevision()));
+            return right(new Inventory(head, marker, history, chunks));
+        });
+    }
+
+    private <T> Mono<Either<KeyValueError, T>> retry(Supplier<Mono<Either<KeyValueError, T>>> call) {
+        return retry(call, 1);
+    }
+
+    private <T> Mono<Either<KeyValueError, T>> retry(Supplier<Mono<Either<KeyValueError, T>>> call, int number) {
+        return Mono.defer(call).flatMap(result -> {
+            if (result.isRight() || !result.getLeft().isTransient() || number >= ATTEMPT_LIMIT) {
+                return Mono.just(result);
+            }
+            return Mono.delay(delay(number)).then(Mono.defer(() -> retry(call, number + 1)));
+        });
+    }
+
+    private Duration delay(int number) {
+        long limitMillis = Math.min(DELAY_LIMIT_MILLIS, FIRST_DELAY_MILLIS << number);
+        synchronized (random) {
+            return Duration.ofMillis(limitMillis / 2 + random.nextLong(limitMillis / 2 + 1));
+        }
+    }
+
+    private <T> Either<TableStoreError, T> convert(Either<KeyValueError, T> result) {
+        return result.mapLeft(TableStoreError.StoreFailed::new);
+    }
+
+    private <T, R> Mono<Either<TableStoreError, R>> then(
+            Mono<? extends Either<?, T>> source, Function<T, Mono<Either<TableStoreError, R>>> next) {
+        return source.flatMap(result -> {
+            if (result.isRight()) {
+                return next.apply(result.get());
+            }
+            Object error = result.getLeft();
+            return left(
+                    error instanceof KeyValueError failed
+                            ? new TableStoreError.StoreFailed(failed)
+                            : (TableStoreError) error);
+        });
+    }
+
+    private static <T, R> Mono<Either<TableStoreError, R>> map(
+            Mono<Either<TableStoreError, T>> source, Function<T, R> function) {
+        return source.map(result -> result.map(function));
+    }
+
+    private static <T> Mono<Either<TableStoreError, T>> right(T value) {
+        return Mono.just(Either.right(value));
+    }
+
+    private static <T> Mono<Either<TableStoreError, T>> left(TableStoreError error) {
+        return Mono.just(Either.left(error));
+    }
+
+    private static Either<TableStoreError, TableVersion> parseHead(KeyValue entry) {
+        try {
+            return Either.right(new TableVersion(entry.modRevision(), TableHead.read(entry.value())));
+        } catch (KeyValueFormatException e) {
+            return Either.left(new TableStoreError.Damaged(entry.key() + ": " + e.getMessage(), List.of()));
+        }
+    }
+
+    private static String historyKey(long sequence) {
+        // Zeros in front make the byte order of the keys the order of the changes.
+        return HISTORY_PREFIX + String.format("%012d", sequence);
+    }
+
+    /** What the store holds at one revision. */
+    private record Inventory(
+            Option<TableVersion> head, long marker, List<TableVersion> history, Map<String, Long> chunks) {
+        long headVersion() {
+            return head.map(TableVersion::version).getOrElse(0L);
+        }
+
+        /** Returns the version that a change brought; empty if it was not accepted. */
+        Option<Long> find(String changeId) {
+            for (TableVersion version : history) {
+                if (version.head().changeId().equals(changeId)) {
+                    return Option.some(version.version());
+                }
+            }
+            return Option.none();
+        }
+
+        List<Compare> conditions() {
+            return List.of(Compare.unchangedSince(HEAD_KEY, headVersion()), Compare.unchangedSince(MARKER_KEY, marker));
+        }
+    }
+
+    /** One attempt to apply a change. An earlier commit without response makes all later failures undetermined. */
+    private record Attempt(TableChange change, List<TableChunk> chunks, int number, boolean isUncertain) {
+        Attempt next() {
+            return new Attempt(change, chunks, number + 1, isUncertain);
+        }
+
+        Attempt uncertain() {
+            return new Attempt(change, chunks, number, true);
+        }
+
+        TableStoreError failure(KeyValueError error) {
+            return isUncertain
+                    ? new TableStoreError.Undetermined(change.changeId(), error)
+                    : new TableStoreError.StoreFailed(error);
+        }
+    }
+}
--- /dev/null
+++ b/transport/src/test/java/org/heatherreach/transport/kv/HttpKeyValueStoreTest.java
@@ -0,0 +1,163 @@
+package org.heatherreach.transport.kv;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.vavr.control.Either;
+import net.jqwik.api.Example;
+import org.heatherreach.protocol.kv.Compare;
+import org.heatherreach.protocol.kv.KeyRange;
+import org.heatherreach.protocol.kv.Operation;
+import org.heatherreach.protocol.kv.Transaction;
+import org.heatherreach.protocol.kv.WatchEvent;
+import org.heatherreach.standins.StoreFaults;
+import org.heatherreach.standins.StoreServer;
+import org.heatherreach.standins.StoreSettings;
+import reactor.core.Disposable;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class HttpKeyValueStoreTest {
+    // Guards against a lost update: a swap from an old revision must fail and say what the store holds.
+    @Example
+    void compareAndSwapFailsAfterAnotherChange() {
+        try (StoreServer server = new StoreServer(StoreSettings.standard());
+                HttpKeyValueStore store = client(server, 5000)) {
+            long revision = store.put(put("a", "1")).block().get();
+            Transaction swap = new Transaction(
+                    List.of(Compare.unchangedSince("a", revision)),
+                    List.of(put("a", "2")),
+                    List.of(new Operation.Range(KeyRange.of("a"), false)));
+            assertThat(store.transact(swap).block().get().succeeded()).isTrue();
+            KeyValueError error = store.transact(swap).block().getLeft();
+            assertThat(error).isInstanceOf(KeyValueError.Conflict.class);
+            assertThat(((KeyValueError.Conflict) error).steps().get(0).get(0).value())
+                    .isEqualTo(bytes("2"));
+            store.put(put("ab", "3")).block();
+            store.put(put("b", "4")).block();
+            assertThat(store.range(KeyRange.prefix("a"), true).block().get().values())
+                    .extracting(entry -> entry.key())
+                    .containsExactly("a", "ab");
+        }
+    }
+
+    // Guards against errors that claim more than is known, such as "unavailable" for a write that took effect.
+    @Example
+    void errorsSayWhetherAWriteMayHaveTakenEffect() {
+        StoreServer server = new StoreServer(StoreSettings.standard());
+        HttpKeyValueStore store = client(server, 5000);
+        server.setFaults(new StoreFaults(StoreFaults.Outage.NONE, 0, 1, false));
+        assertThat(store.put(put("a", "1")).block().getLeft()).isInstanceOf(KeyValueError.UnknownEffect.class);
+        assertThat(store.range(KeyRange.of("a"), false).block().get().values()).hasSize(1);
+        assertThat(server.calls("/v3/kv/put")).isEqualTo(1);
+        assertThat(store.put(new Operation.Put("a", new byte[(1 << 20) + 1], 0))
+                        .block()
+                        .getLeft())
+                .isInstanceOf(KeyValueError.TooLarge.class);
+        server.setFaults(new StoreFaults(StoreFaults.Outage.SILENT, 0, 0, false));
+        try (HttpKeyValueStore impatient = client(server, 200)) {
+            assertThat(impatient.put(put("a", "3")).block().getLeft()).isInstanceOf(KeyValueError.UnknownEffect.class);
+            assertThat(impatient.range(KeyRange.of("a"), false).block().getLeft())
+                    .isInstanceOf(KeyValueError.Unavailable.class);
+        }
+        server.setFaults(new StoreFaults(StoreFaults.Outage.UNAVAILABLE, 0, 0, false));
+        assertThat(store.put(put("a", "4")).block().getLeft()).isInstanceOf(KeyValueError.Unavailable.class);
+        server.close();
+        assertThat(store.put(put("a", "5")).block().getLeft()).isInstanceOf(KeyValueError.Unavailable.class);
+        store.close();
+    }
+
+    // Guards against a client that takes an exhausted rate for an outage, or for an unknown effect.
+    @Example
+    void exhaustedRateHasItsOwnError() {
+        try (StoreServer server = new StoreServer(new StoreSettings("127.0.0.1", 0, 0, 1, 2000, 1000));
+                HttpKeyValueStore store = client(server, 5000)) {
+            List<KeyValueError> errors = new ArrayList<>();
+            for (int i = 0; i < 50; i++) {
+                store.put(put("a", "1")).block().peekLeft(errors::add);
+            }
+            assertThat(errors).isNotEmpty().allMatch(KeyValueError.RateLimited.class::isInstance);
+        }
+    }
+
+    // Guards against a lease whose holder, paused past its expiry, still believes in it.
+    @Example
+    void expiredLeaseShowsInItsRenewal() {
+        try (StoreServer server = new StoreServer(StoreSettings.standard());
+                HttpKeyValueStore store = client(server, 5000)) {
+            long lease = store.grantLease(60).block().get().id();
+            store.put(new Operation.Put("a", bytes("1"), lease)).block();
+            assertThat(store.keepAlive(lease).block().get().ttlSeconds()).isEqualTo(60);
+            server.expireAllLeases();
+            assertThat(store.keepAlive(lease).block().get().ttlSeconds()).isZero();
+            assertThat(store.range(KeyRange.of("a"), false).block().get().values())
+                    .isEmpty();
+        }
+    }
+
+    // Guards against changes that a watch misses or repeats when its connection breaks or the store is away.
+    @Example
+    void watchReconnectsWithoutGaps() throws InterruptedException {
+        try (StoreServer server = new StoreServer(StoreSettings.standard());
+                HttpKeyValueStore store = client(server, 5000)) {
+            LinkedBlockingQueue<Either<KeyValueError, WatchEvent>> events = new LinkedBlockingQueue<>();
+            Disposable watch = store.watch(KeyRange.of("a"), 0).subscribe(events::add);
+            assertThat(events.poll(10, TimeUnit.SECONDS).get()).isInstanceOf(WatchEvent.Current.class);
+            List<Long> written = new ArrayList<>();
+            for (int round = 0; round < 3; round++) {
+                written.add(store.put(put("a", "x" + round)).block().get());
+                server.breakWatches();
+                written.add(store.put(put("a", "y" + round)).block().get());
+                server.setFaults(new StoreFaults(StoreFaults.Outage.UNAVAILABLE, 0, 0, false));
+                server.setFaults(StoreFaults.NONE);
+            }
+            List<Long> seen = new ArrayList<>();
+            boolean interrupted = false;
+            while (seen.size() < written.size()) {
+                Either<KeyValueError, WatchEvent> event = events.poll(10, TimeUnit.SECONDS);
+                assertThat(event).as("seen %s of %s", seen, written).isNotNull();
+                interrupted |= event.isLeft();
+                if (event.isRight() && event.get() instanceof WatchEvent.Put put) {
+                    seen.add(put.revision());
+                }
+            }
+            assertThat(seen).isEqualTo(written);
+            assertThat(interrupted).isTrue();
+            watch.dispose();
+        }
+    }
+
+    // Guards against a watch that trusts a connection on which the store has fallen silent.
+    @Example
+    void silentWatchIsGivenUp() throws InterruptedException {
+        try (StoreServer server = new StoreServer(new StoreSettings("127.0.0.1", 0, 0, 300, 2000, 3_600_000));
+                HttpKeyValueStore store = client(server, 5000)) {
+            LinkedBlockingQueue<Either<KeyValueError, WatchEvent>> events = new LinkedBlockingQueue<>();
+            Disposable watch = store.watch(KeyRange.of("a"), 0).subscribe(events::add);
+            assertThat(events.poll(10, TimeUnit.SECONDS).isRight()).isTrue();
+            assertThat(events.poll(10, TimeUnit.SECONDS).getLeft()).isInstanceOf(KeyValueError.Unavailable.class);
+            watch.dispose();
+        }
+    }
+
+    private static HttpKeyValueStore client(StoreServer server, int timeoutMillis) {
+        return new HttpKeyValueStore(
+                List.of(new InetSocketAddress("127.0.0.1", server.port())),
+                Duration.ofMillis(timeoutMillis),
+                Duration.ofSeconds(3),
+                new Random(1));
+    }
+
+    private static Operation.Put put(String key, String value) {
+        return new Operation.Put(key, bytes(value), 0);
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/transport/src/test/java/org/heatherreach/transport/kv/TableStoreTest.java
@@ -0,0 +1,319 @@
+package org.heatherreach.transport.kv;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import io.vavr.control.Either;
+import net.jqwik.api.Example;
+import org.heatherreach.protocol.kv.KeyRange;
+import org.heatherreach.protocol.kv.Lease;
+import org.heatherreach.protocol.kv.Operation;
+import org.heatherreach.protocol.kv.RangeResult;
+import org.heatherreach.protocol.kv.Transaction;
+import org.heatherreach.protocol.kv.TransactionResult;
+import org.heatherreach.protocol.kv.WatchEvent;
+import org.heatherreach.standins.StoreFaults;
+import org.heatherreach.standins.StoreServer;
+import org.heatherreach.standins.StoreSettings;
+import org.heatherreach.state.table.Table;
+import org.heatherreach.state.table.TableColumn;
+import org.heatherreach.state.table.TableRow;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class TableStoreTest {
+    private static final String CHUNKS = "/heatherreach/table/chunks/";
+
+    private final StoreServer server = new StoreServer(new StoreSettings("127.0.0.1", 0, 0, 5000, 5000, 1000));
+    private final HttpKeyValueStore store = new HttpKeyValueStore(
+            List.of(new InetSocketAddress("127.0.0.1", server.port())),
+            Duration.ofSeconds(5),
+            Duration.ofSeconds(3),
+            new Random(1));
+
+    // Guards against a table above one value's limit that is visible in part, or that costs a call per chunk.
+    @Example
+    void largeTableIsCommittedAsOne() {
+        Table table = table(20_000, 1);
+        TableStore tables = new TableStore(store, new Random(1));
+        long version = accepted(tables.apply(change("c1", 0, table)).block());
+        assertThat(server.keys().stream().filter(key -> key.startsWith(CHUNKS)).count())
+                .isGreaterThan(3);
+        assertThat(server.calls("/v3/kv/txn")).isLessThan(10);
+        TableSnapshot read =
+                new TableStore(store, new Random(2)).read().block().get().get();
+        assertThat(read.version()).isEqualTo(version);
+        assertThat(read.table()).isEqualTo(table);
+        long before = server.calls("/v3/kv/txn");
+        accepted(tables.apply(change("c2", version, table(20_000, 2))).block());
+        assertThat(server.calls("/v3/kv/txn") - before).isEqualTo(3);
+        assertThat(tables.read().block().get().get().table()).isEqualTo(table(20_000, 2));
+        close();
+    }
+
+    // Guards against the last writer winning: of two operators one is told the other's table, and neither is lost.
+    @Example
+    void secondOfTwoOperatorsSeesTheFirst() {
+        TableStore first = new TableStore(store, new Random(1));
+        TableStore second = new TableStore(store, new Random(2));
+        long base = accepted(first.apply(change("c0", 0, table(1, 1))).block());
+        long version = accepted(first.apply(change("c1", base, table(1, 2))).block());
+        ApplyResult result =
+                second.apply(change("c2", base, table(1, 3))).block().get();
+        assertThat(result).isInstanceOf(ApplyResult.Superseded.class);
+        TableSnapshot current = ((ApplyResult.Superseded) result).current().get();
+        assertThat(current.version()).isEqualTo(version);
+        assertThat(current.table()).isEqualTo(table(1, 2));
+        assertThat(current.head().author()).isEqualTo("author of c1");
+        close();
+    }
+
+    // Guards against two operators of whom both or none are told "accepted" when they apply at the same moment.
+    @Example
+    void oneOfManyConcurrentChangesIsAccepted() {
+        long base = accepted(new TableStore(store, new Random(1))
+                .apply(change("c", 0, table(1, 1)))
+                .block());
+        List<Either<TableStoreError, ApplyResult>> results = Flux.range(0, 8)
+                .flatMap(i -> new TableStore(store, new Random(i)).apply(change("c" + i, base, table(1, 10 + i))))
+                .collectList()
+                .block();
+        assertThat(results).allMatch(Either::isRight);
+        assertThat(results.stream()
+                        .filter(result -> result.get() instanceof ApplyResult.Accepted)
+                        .count())
+                .isEqualTo(1);
+        assertThat(new TableStore(store, new Random(1)).history().block().get()).hasSize(2);
+        close();
+    }
+
+    // Guards against a change that is reported as failed or applied twice when a response is lost after the write.
+    @Example
+    void lostResponseIsResolvedByTheChangeId() {
+        TableStore tables = new TableStore(store, new Random(1));
+        long version = 0;
+        for (int lost = 1; lost <= 3; lost++) {
+            server.setFaults(new StoreFaults(StoreFaults.Outage.NONE, 0, lost, false));
+            version = accepted(
+                    tables.apply(change("c" + lost, version, table(1, lost))).block());
+        }
+        assertThat(tables.history().block().get())
+                .extracting(entry -> entry.head().changeId())
+                .containsExactly("c3", "c2", "c1");
+        assertThat(tables.readHead().block().get().get().version()).isEqualTo(version);
+        close();
+    }
+
+    // Guards against a lost response that is taken for a lost race once the next change has been accepted.
+    @Example
+    void lostResponseIsResolvedAfterTheNextChange() {
+        TableStore other = new TableStore(store, new Random(2));
+        InterceptedStore intercepted = new InterceptedStore(store);
+        intercepted.afterCommit = () -> {
+            TableVersion head = other.readHead().block().get().get();
+            accepted(other.apply(change("next", head.version(), table(1, 9))).block());
+        };
+        long version = accepted(new TableStore(intercepted, new Random(1))
+                .apply(change("c1", 0, table(1, 1)))
+                .block());
+        List<TableVersion> history = other.history().block().get();
+        assertThat(history).extracting(entry -> entry.head().changeId()).containsExactly("next", "c1");
+        assertThat(history.get(1).version()).isEqualTo(version);
+        close();
+    }
+
+    // Guards against a change that is said to be rejected although it may be accepted, or the reverse.
+    @Example
+    void outageIsReportedTruthfully() {
+        TableStore tables = new TableStore(store, new Random(1));
+        long version = accepted(tables.apply(change("c1", 0, table(1, 1))).block());
+        server.setFaults(new StoreFaults(StoreFaults.Outage.UNAVAILABLE, 0, 0, false));
+        assertThat(tables.apply(change("c2", version, table(1, 2))).block().getLeft())
+                .isInstanceOf(TableStoreError.StoreFailed.class);
+        server.setFaults(StoreFaults.NONE);
+        assertThat(tables.readHead().block().get().get().version()).isEqualTo(version);
+        InterceptedStore intercepted = new InterceptedStore(store);
+        intercepted.afterCommit = () -> server.setFaults(new StoreFaults(StoreFaults.Outage.DISCONNECT, 0, 0, false));
+        TableStoreError error = new TableStore(intercepted, new Random(1))
+                .apply(change("c3", version, table(1, 3)))
+                .block()
+                .getLeft();
+        assertThat(error).isInstanceOf(TableStoreError.Undetermined.class);
+        assertThat(error.reason()).contains("c3");
+        // The same change id, sent again, finds the change instead of applying it a second time.
+        server.setFaults(StoreFaults.NONE);
+        accepted(tables.apply(change("c3", version, table(1, 3))).block());
+        assertThat(tables.history().block().get()).hasSize(2);
+        close();
+    }
+
+    // Guards against a collection that removes a chunk to which a change, prepared at the same time, refers.
+    @Example
+    void collectionNeverBreaksAConcurrentChange() {
+        TableStore tables = new TableStore(store, new Random(1));
+        TableStore collector = new TableStore(store, new Random(2));
+        long version = 0;
+        for (int i = 0; i <= TableStore.HISTORY_LIMIT + 1; i++) {
+            version = accepted(
+                    tables.apply(change("c" + i, version, table(1, i + 1))).block());
+        }
+        // Table 1 is outside the history by now. Its chunk is unused when the collector looks, wanted by the change.
+        InterceptedStore intercepted = new InterceptedStore(store);
+        List<Integer> removed = new ArrayList<>();
+        intercepted.beforeCommit =
+                () -> removed.add(collector.collectGarbage().block().get());
+        accepted(new TableStore(intercepted, new Random(3))
+                .apply(change("again", version, table(1, 1)))
+                .block());
+        assertThat(removed.get(0)).isGreaterThan(0);
+        assertThat(new TableStore(store, new Random(4))
+                        .read()
+                        .block()
+                        .get()
+                        .get()
+                        .table())
+                .isEqualTo(table(1, 1));
+        close();
+    }
+
+    // Guards against chunks that pile up, and against a history with entries that can't be read any more.
+    @Example
+    void collectionKeepsExactlyTheHistory() {
+        TableStore tables = new TableStore(store, new Random(1));
+        long version = 0;
+        for (int i = 0; i < TableStore.HISTORY_LIMIT + 10; i++) {
+            version = accepted(
+                    tables.apply(change("c" + i, version, table(1, i + 1))).block());
+        }
+        assertThat(tables.collectGarbage().block().get()).isEqualTo(10);
+        List<TableVersion> history = tables.history().block().get();
+        assertThat(history).hasSize(TableStore.HISTORY_LIMIT);
+        Set<String> used = new HashSet<>();
+        history.forEach(entry -> entry.head().chunks().forEach(hash -> used.add(CHUNKS + hash)));
+        assertThat(server.keys().stream().filter(key -> key.startsWith(CHUNKS)))
+                .containsExactlyInAnyOrderElementsOf(used);
+        assertThat(new TableStore(store, new Random(2))
+                        .read(history.get(history.size() - 1))
+                        .block()
+                        .isRight())
+                .isTrue();
+        close();
+    }
+
+    private void close() {
+        store.close();
+        server.close();
+    }
+
+    private static long accepted(Either<TableStoreError, ApplyResult> result) {
+        assertThat(result.isRight()).as(result.toString()).isTrue();
+        assertThat(result.get()).isInstanceOf(ApplyResult.Accepted.class);
+        return ((ApplyResult.Accepted) result.get()).version();
+    }
+
+    private static TableChange change(String id, long baseVersion, Table table) {
+        return new TableChange(id, "author of " + id, "", baseVersion, 0, table);
+    }
+
+    /** Returns a table of some workspaces, of which the first has the given weight. */
+    private static Table table(int workspaces, int weight) {
+        List<TableRow> rows = new ArrayList<>();
+        for (String rank : List.of("urgent", "standard", "bulk")) {
+            rows.add(new TableRow(
+                    "rank:" + rank,
+                    Map.of(
+                            TableColumn.WEIGHT, "1",
+                            TableColumn.GUARANTEE_PERCENT, "10",
+                            TableColumn.QUEUE_LIMIT, "100",
+                            TableColumn.TIMEOUT_MS, "1000")));
+        }
+        IntStream.range(0, workspaces)
+                .forEach(i -> rows.add(new TableRow(
+                        "workspace:w" + i + "-of-a-site-with-a-rather-long-name",
+                        Map.of(
+                                TableColumn.WEIGHT,
+                                i == 0 ? Integer.toString(weight) : "1",
+                                TableColumn.REQUEST_LIMIT,
+                                "10"))));
+        return Table.of(rows).get();
+    }
+
+    /** Runs a step once before or after the transaction that sets the head; after it, the response is lost. */
+    private static final class InterceptedStore implements KeyValueStore {
+        private final KeyValueStore store;
+        private Runnable beforeCommit;
+        private Runnable afterCommit;
+
+        InterceptedStore(KeyValueStore store) {
+            this.store = store;
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, TransactionResult>> transact(Transaction transaction) {
+            if (transaction.conditions().isEmpty()) {
+                return store.transact(transaction);
+            }
+            Runnable before = beforeCommit;
+            Runnable after = afterCommit;
+            beforeCommit = null;
+            afterCommit = null;
+            Mono<Either<KeyValueError, TransactionResult>> call = store.transact(transaction);
+            if (before != null) {
+                call = blocking(before).then(call);
+            }
+            if (after != null) {
+                call = call.then(blocking(after))
+                        .thenReturn(Either.left(new KeyValueError.UnknownEffect("response lost")));
+            }
+            return call;
+        }
+
+        private static Mono<Void> blocking(Runnable step) {
+            return Mono.<Void>fromRunnable(step).subscribeOn(reactor.core.scheduler.Schedulers.boundedElastic());
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, RangeResult>> range(KeyRange range, boolean keysOnly) {
+            return store.range(range, keysOnly);
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, Long>> put(Operation.Put put) {
+            return store.put(put);
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, Long>> delete(KeyRange range) {
+            return store.delete(range);
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, Lease>> grantLease(long ttlSeconds) {
+            return store.grantLease(ttlSeconds);
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, Lease>> keepAlive(long leaseId) {
+            return store.keepAlive(leaseId);
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, Long>> revokeLease(long leaseId) {
+            return store.revokeLease(leaseId);
+        }
+
+        @Override
+        public Flux<Either<KeyValueError, WatchEvent>> watch(KeyRange range, long startRevision) {
+            return store.watch(range, startRevision);
+        }
+    }
+}
