Add the member list with suspicion, refutation and paged exchange

Updates are pushed to three members at once under a rate limit and then ride on pings. A new daemon reads the list of one peer in pages of eight, so no packet grows with the fleet.

--- /dev/null
+++ b/coordination/src/main/java/org/heatherreach/coordination/member/MemberList.java
@@ -0,0 +1,762 @@
+package org.heatherreach.coordination.member;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import org.heatherreach.state.id.IncarnationId;
+import org.heatherreach.state.id.ZoneId;
+
+/**
+ * SWIM-style failure detection and membership.
+ *
+ * <p>Each interval one member is pinged. A missing acknowledgement causes pings through three other members, preferably
+ * in zones that are neither this daemon's nor the target's, so that one cut direction between two zones raises no
+ * suspicion. A suspect that doesn't refute in time is declared dead. Every update is spread a number of times that
+ * grows with the logarithm of the fleet: fresh ones are pushed to three members at once under a rate limit, then they
+ * ride on pings and acknowledgements.
+ *
+ * <p>A new daemon, and one that sees many new members at once, reads the whole list of one peer page by page. Each
+ * eighth ping reads one more page, so that a lost update is repaired within a quarter of an hour at 880 members.
+ *
+ * <p>Invariants: this daemon's own counter only grows; an incarnation that announced {@code LEAVING} never becomes live
+ * again; {@code LEFT} is final; a daemon that hears nobody declares nobody dead; the work per packet and per tick
+ * doesn't depend on the number of members, apart from a logarithmic look-up. Confined to one thread.
+ */
+public final class MemberList implements Membership {
+    private static final long SYNC_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    private static final long RESYNC_NANOS = TimeUnit.SECONDS.toNanos(2);
+    private static final long ACCUSE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final int CONTACT_DRAWS = 64;
+    private static final long RELAY_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final MemberSettings settings;
+    private final List<MemberAddress> seeds;
+    private final RandomGenerator random;
+    private final TreeMap<IncarnationId, Entry> entries = new TreeMap<>();
+    private final Map<MemberAddress, Entry> byAddress = new HashMap<>();
+    private final List<Entry> reachable = new ArrayList<>();
+    private final Map<IncarnationId, Entry> suspects = new HashMap<>();
+    private final Map<IncarnationId, Entry> buried = new HashMap<>();
+    private final Map<Long, Relay> relays = new HashMap<>();
+    private final UpdateQueue queue = new UpdateQueue();
+    private List<MemberAddress> listed = List.of();
+    private Member self;
+    private MemberView view;
+    private long sequence;
+
+    private Probe probe;
+    private int ringPosition;
+    private int pingsSent;
+    private long repairCursor = 1;
+    private Sync sync;
+    private boolean synced;
+    private boolean resyncDue;
+    private long resyncNanos;
+    private long mergeAllowedNanos;
+    private long mergeWindowEndNanos;
+    private int newInWindow;
+
+    private long lastObservedNanos;
+    private long lastHeardNanos;
+    private long nextPingNanos;
+    private long nextContactNanos;
+    private boolean pushDue;
+    private double pushTokens = MemberSettings.PUSH_BURST;
+    private long pushRefilledNanos;
+
+    private long ownTableVersion;
+    private long storeConfirmedNanos;
+    private boolean storeConfirmed;
+    private boolean storeAway;
+
+    private long refutations;
+    private long deathsDeclared;
+
+    /**
+     * Creates a list that knows only this daemon.
+     *
+     * @param self this daemon, alive
+     * @param seeds addresses of first contacts from the settings; this daemon's own address is skipped
+     */
+    public MemberList(
+            MemberSettings settings,
+            Member self,
+            Collection<MemberAddress> seeds,
+            RandomGenerator random,
+            long nowNanos) {
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.self = Objects.requireNonNull(self, "self");
+        this.random = Objects.requireNonNull(random, "random");
+        this.seeds = List.copyOf(seeds);
+        if (self.state() != MemberState.ALIVE) {
+            throw new IllegalArgumentException("a daemon starts alive");
+        }
+        lastObservedNanos = nowNanos;
+        lastHeardNanos = nowNanos;
+        pushRefilledNanos = nowNanos;
+        mergeAllowedNanos = nowNanos;
+        mergeWindowEndNanos = nowNanos;
+        nextContactNanos = nowNanos;
+        // A random phase spreads the pings of daemons that start together.
+        nextPingNanos = nowNanos + (long) (random.nextDouble() * settings.pingIntervalNanos());
+    }
+
+    @Override
+    public List<MemberAction> tick(long nowNanos) {
+        List<MemberAction> actions = new ArrayList<>();
+        observe(nowNanos);
+        expireSuspects(nowNanos, actions);
+        forget(nowNanos);
+        continueProbe(nowNanos, actions);
+        continueSync(nowNanos, actions);
+        contact(nowNanos, actions);
+        push(nowNanos, actions);
+        return actions;
+    }
+
+    @Override
+    public List<MemberAction> receive(MemberPacket packet, long nowNanos) {
+        List<MemberAction> actions = new ArrayList<>(4);
+        observe(nowNanos);
+        Member sender = packet.sender();
+        if (sender.incarnation().equals(self.incarnation())) {
+            return actions;
+        }
+        lastHeardNanos = nowNanos;
+        hearDirectly(sender, packet.beacon(), nowNanos, actions);
+        boolean page = sync != null && packet.sequence() == sync.sequence;
+        for (Member update : packet.updates()) {
+            merge(update, !page, nowNanos, actions);
+        }
+        switch (packet.kind()) {
+            case PING -> answer(packet, actions);
+            case PING_REQUEST -> relay(packet, nowNanos, actions);
+            case ACK -> acknowledge(packet, nowNanos, actions);
+            default -> throw new IllegalStateException("unhandled kind " + packet.kind());
+        }
+        return actions;
+    }
+
+    @Override
+    public void listed(Collection<MemberAddress> addresses) {
+        listed = List.copyOf(addresses);
+    }
+
+    @Override
+    public void advertise(long tableVersion, long newStoreConfirmedNanos, boolean newStoreAway) {
+        ownTableVersion = tableVersion;
+        self = self.withTableVersion(tableVersion);
+        storeConfirmedNanos = newStoreConfirmedNanos;
+        storeConfirmed = true;
+        storeAway = newStoreAway;
+    }
+
+    @Override
+    public List<MemberAction> announceLeaving(long nowNanos) {
+        List<MemberAction> actions = new ArrayList<>();
+        observe(nowNanos);
+        if (self.state() == MemberState.ALIVE) {
+            self = self.with(MemberState.LEAVING, self.counter() + 1);
+            view = null;
+            enqueue(self);
+            push(nowNanos, actions);
+        }
+        return actions;
+    }
+
+    @Override
+    public List<MemberAction> announceLeft(long nowNanos) {
+        List<MemberAction> actions = new ArrayList<>();
+        observe(nowNanos);
+        self = self.with(MemberState.LEFT, self.counter() + 1);
+        view = null;
+        enqueue(self);
+        // No later packet can repeat this one, so it goes to more members than other updates.
+        for (Entry entry : pick(2 * MemberSettings.PUSH_FANOUT, null)) {
+            actions.add(send(entry.member.address(), MemberPacket.Kind.ACK, 0, 0, 0));
+        }
+        return actions;
+    }
+
+    @Override
+    public Member self() {
+        return self;
+    }
+
+    @Override
+    public Optional<Member> find(IncarnationId incarnation) {
+        if (incarnation.equals(self.incarnation())) {
+            return Optional.of(self);
+        }
+        return Optional.ofNullable(entries.get(incarnation)).map(entry -> entry.member);
+    }
+
+    @Override
+    public MemberView view() {
+        if (view == null) {
+            List<Member> members = new ArrayList<>(reachable.size() + 1);
+            reachable.forEach(entry -> members.add(entry.member));
+            members.add(self);
+            view = new MemberView(members);
+        }
+        return view;
+    }
+
+    /** Returns how often this daemon refuted a suspicion or its own death. */
+    public long refutations() {
+        return refutations;
+    }
+
+    /** Returns how many members this daemon itself declared dead. */
+    public long deathsDeclared() {
+        return deathsDeclared;
+    }
+
+    /** Returns how many updates were dropped because too many waited to be spread. */
+    public long droppedUpdates() {
+        return queue.droppedUpdates();
+    }
+
+    /** Detects a pause of this process: what fell due meanwhile says nothing about the other members. */
+    private void observe(long nowNanos) {
+        long gapNanos = nowNanos - lastObservedNanos;
+        lastObservedNanos = nowNanos;
+        if (gapNanos < settings.pingIntervalNanos()) {
+            return;
+        }
+        probe = null;
+        relays.clear();
+        nextPingNanos = nowNanos;
+        lastHeardNanos += gapNanos;
+        for (Entry suspect : suspects.values()) {
+            suspect.deadlineNanos += gapNanos;
+        }
+        if (self.state() == MemberState.ALIVE) {
+            self = self.with(MemberState.ALIVE, self.counter() + 1);
+            enqueue(self);
+        }
+    }
+
+    private void hearDirectly(Member sender, TableBeacon beacon, long nowNanos, List<MemberAction> actions) {
+        merge(sender, true, nowNanos, actions);
+        Entry entry = entries.get(sender.incarnation());
+        if (entry == null) {
+            return;
+        }
+        if (entry.member.state().isReachable()) {
+            Entry other = byAddress.get(sender.address());
+            if (other != null && other != entry) {
+                // One process holds an address at a time. If the packet was late, the other one refutes its death.
+                declareDead(other, nowNanos, actions);
+                byAddress.put(sender.address(), entry);
+            }
+        }
+        entry.member = entry.member.withTableVersion(beacon.tableVersion());
+        boolean accused = entry.member.state() == MemberState.SUSPECT || entry.member.state() == MemberState.DEAD;
+        if (accused && sender.state().isReachable() && nowNanos - entry.accuseAllowedNanos >= 0) {
+            entry.accuseAllowedNanos = nowNanos + ACCUSE_INTERVAL_NANOS;
+            actions.add(new MemberAction.SendPacket(
+                    sender.address(),
+                    new MemberPacket(MemberPacket.Kind.ACK, 0, self, 0, 0, beacon(), List.of(entry.member))));
+        }
+        actions.add(new MemberAction.ReportBeacon(entry.member, beacon));
+    }
+
+    private void merge(Member update, boolean spread, long nowNanos, List<MemberAction> actions) {
+        if (update.incarnation().equals(self.incarnation())) {
+            refute(update);
+            return;
+        }
+        Entry entry = entries.get(update.incarnation());
+        if (entry == null) {
+            entry = new Entry(update, nowNanos);
+            entries.put(update.incarnation(), entry);
+            if (update.state().isReachable()) {
+                addReachable(entry);
+                actions.add(new MemberAction.ChangeMember(update, null));
+                countNew(update, spread, nowNanos);
+                if (spread) {
+                    enqueue(update);
+                }
+                watchSuspect(entry, nowNanos);
+            } else {
+                // The end of a member that was not known is remembered but not spread, so that daemons which
+                // forget it at different times don't pass it around forever.
+                bury(entry, nowNanos);
+            }
+            return;
+        }
+        Member before = entry.member;
+        if (!update.supersedes(before)) {
+            return;
+        }
+        if (before.state() == MemberState.LEAVING && update.state().isLive()) {
+            // A pause of the member raised its counter before the announcement reached it; it is still leaving.
+            return;
+        }
+        apply(entry, update, nowNanos, actions);
+        if (spread) {
+            enqueue(update);
+        }
+    }
+
+    private void refute(Member update) {
+        if (self.state() == MemberState.LEFT) {
+            return;
+        }
+        boolean accused = update.state() == MemberState.SUSPECT || update.state() == MemberState.DEAD;
+        if (accused && update.counter() >= self.counter()) {
+            self = self.with(self.state(), update.counter() + 1);
+            refutations++;
+            enqueue(self);
+        } else if (update.counter() > self.counter()) {
+            self = self.with(self.state(), update.counter());
+        }
+    }
+
+    private void apply(Entry entry, Member update, long nowNanos, List<MemberAction> actions) {
+        Member before = entry.member;
+        entry.member = update.withTableVersion(Math.max(update.tableVersion(), before.tableVersion()));
+        suspects.remove(update.incarnation());
+        if (update.state().isReachable()) {
+            if (!before.state().isReachable()) {
+                buried.remove(update.incarnation());
+                addReachable(entry);
+                countNew(update, true, nowNanos);
+            }
+            watchSuspect(entry, nowNanos);
+        } else {
+            if (before.state().isReachable()) {
+                removeReachable(entry);
+            }
+            bury(entry, nowNanos);
+        }
+        if (before.state() != update.state()) {
+            view = null;
+            actions.add(new MemberAction.ChangeMember(entry.member, before.state()));
+        }
+    }
+
+    private void watchSuspect(Entry entry, long nowNanos) {
+        if (entry.member.state() == MemberState.SUSPECT) {
+            entry.deadlineNanos = nowNanos + settings.suspicionNanos();
+            suspects.put(entry.member.incarnation(), entry);
+        }
+    }
+
+    private void bury(Entry entry, long nowNanos) {
+        entry.deadlineNanos = nowNanos + settings.forgetNanos();
+        buried.put(entry.member.incarnation(), entry);
+    }
+
+    private void suspect(Entry entry, long nowNanos, List<MemberAction> actions) {
+        if (entry.member.state() == MemberState.ALIVE) {
+            Member update = entry.member.with(MemberState.SUSPECT, entry.member.counter());
+            apply(entry, update, nowNanos, actions);
+            enqueue(update);
+        } else if (entry.member.state() == MemberState.LEAVING && !suspects.containsKey(entry.member.incarnation())) {
+            // Spreading a suspicion would hide that the member is leaving.
+            entry.deadlineNanos = nowNanos + settings.suspicionNanos();
+            suspects.put(entry.member.incarnation(), entry);
+        }
+    }
+
+    private void declareDead(Entry entry, long nowNanos, List<MemberAction> actions) {
+        Member update = entry.member.with(MemberState.DEAD, entry.member.counter());
+        apply(entry, update, nowNanos, actions);
+        enqueue(update);
+        deathsDeclared++;
+    }
+
+    private void expireSuspects(long nowNanos, List<MemberAction> actions) {
+        if (suspects.isEmpty() || isDeaf(nowNanos)) {
+            return;
+        }
+        List<Entry> due = null;
+        for (Entry suspect : suspects.values()) {
+            if (nowNanos - suspect.deadlineNanos >= 0) {
+                due = due == null ? new ArrayList<>() : due;
+                due.add(suspect);
+            }
+        }
+        if (due != null) {
+            for (Entry entry : due) {
+                declareDead(entry, nowNanos, actions);
+            }
+        }
+    }
+
+    /** A daemon that hears nobody is itself cut off, so its missing acknowledgements are no evidence. */
+    private boolean isDeaf(long nowNanos) {
+        return nowNanos - lastHeardNanos >= 2 * settings.pingIntervalNanos();
+    }
+
+    private void forget(long nowNanos) {
+        if (!buried.isEmpty()) {
+            Iterator<Entry> dead = buried.values().iterator();
+            while (dead.hasNext()) {
+                Entry entry = dead.next();
+                if (nowNanos - entry.deadlineNanos >= 0) {
+                    dead.remove();
+                    entries.remove(entry.member.incarnation());
+                }
+            }
+        }
+        if (!relays.isEmpty()) {
+            relays.values().removeIf(relay -> nowNanos - relay.deadlineNanos >= 0);
+        }
+    }
+
+    private void continueProbe(long nowNanos, List<MemberAction> actions) {
+        if (probe != null && !probe.acknowledged && !probe.indirect) {
+            if (nowNanos - probe.sentNanos >= settings.ackTimeoutNanos()) {
+                probe.indirect = true;
+                for (Entry helper : pickHelpers(probe.entry)) {
+                    long target = probe.entry.member.incarnation().value();
+                    actions.add(
+                            send(helper.member.address(), MemberPacket.Kind.PING_REQUEST, probe.sequence, target, 0));
+                }
+            }
+        }
+        if (nowNanos - nextPingNanos < 0) {
+            return;
+        }
+        if (probe != null && !probe.acknowledged && !isDeaf(nowNanos)) {
+            suspect(probe.entry, nowNanos, actions);
+        }
+        probe = null;
+        nextPingNanos += settings.pingIntervalNanos();
+        if (nowNanos - nextPingNanos >= 0) {
+            nextPingNanos = nowNanos + settings.pingIntervalNanos();
+        }
+        Entry target = nextInRing();
+        if (target != null) {
+            boolean repair = ++pingsSent % MemberSettings.REPAIR_PERIOD == 0;
+            probe = new Probe(target, ++sequence, nowNanos, repair);
+            actions.add(send(
+                    target.member.address(),
+                    MemberPacket.Kind.PING,
+                    probe.sequence,
+                    repair ? repairCursor : 0,
+                    target.member.incarnation().value()));
+        }
+    }
+
+    private Entry nextInRing() {
+        if (reachable.isEmpty()) {
+            return null;
+        }
+        if (ringPosition >= reachable.size()) {
+            ringPosition = 0;
+            for (int i = reachable.size() - 1; i > 0; i--) {
+                swap(i, random.nextInt(i + 1));
+            }
+        }
+        return reachable.get(ringPosition++);
+    }
+
+    private void continueSync(long nowNanos, List<MemberAction> actions) {
+        if (sync == null && resyncDue && nowNanos - resyncNanos >= 0) {
+            resyncDue = false;
+            pick(1, null).forEach(entry -> startSync(entry.member.address(), nowNanos));
+        }
+        if (sync == null || nowNanos - sync.sentNanos < SYNC_RETRY_NANOS) {
+            return;
+        }
+        if (++sync.failures > 2) {
+            List<Entry> others = pick(1, null);
+            if (others.isEmpty()) {
+                sync = null;
+                synced = false;
+                return;
+            }
+            sync.partner = others.get(0).member.address();
+            sync.failures = 0;
+        }
+        requestPage(nowNanos, actions);
+    }
+
+    private void startSync(MemberAddress partner, long nowNanos) {
+        if (sync == null) {
+            sync = new Sync(partner);
+            // The first page is requested at the next tick.
+            sync.sentNanos = nowNanos - SYNC_RETRY_NANOS;
+            sync.failures = -1;
+            mergeAllowedNanos = nowNanos + MemberSettings.MERGE_COOLDOWN_NANOS;
+        }
+    }
+
+    private void requestPage(long nowNanos, List<MemberAction> actions) {
+        sync.sequence = ++sequence;
+        sync.sentNanos = nowNanos;
+        actions.add(send(sync.partner, MemberPacket.Kind.PING, sync.sequence, sync.cursor, 0));
+    }
+
+    /** Counts new members; many at once mean that two parts of the fleet have met again. */
+    private void countNew(Member update, boolean spread, long nowNanos) {
+        view = null;
+        if (sync != null && !spread) {
+            sync.found++;
+        }
+        if (!synced) {
+            synced = true;
+            startSync(update.address(), nowNanos);
+            return;
+        }
+        if (!spread || sync != null || nowNanos - mergeAllowedNanos < 0) {
+            return;
+        }
+        if (nowNanos - mergeWindowEndNanos >= 0) {
+            mergeWindowEndNanos = nowNanos + MemberSettings.MERGE_WINDOW_NANOS;
+            newInWindow = 0;
+        }
+        if (++newInWindow >= MemberSettings.MERGE_THRESHOLD) {
+            startSync(update.address(), nowNanos);
+        }
+    }
+
+    private void contact(long nowNanos, List<MemberAction> actions) {
+        if (nowNanos - nextContactNanos < 0 || seeds.isEmpty() && listed.isEmpty()) {
+            return;
+        }
+        boolean alone = reachable.isEmpty();
+        nextContactNanos = nowNanos + (alone ? settings.pingIntervalNanos() : settings.contactIntervalNanos());
+        int wanted = alone ? MemberSettings.HELPERS : 1;
+        // Random draws keep the cost independent of the length of the VM list.
+        for (int draw = 0; draw < CONTACT_DRAWS && wanted > 0; draw++) {
+            int index = random.nextInt(seeds.size() + listed.size());
+            MemberAddress address = index < seeds.size() ? seeds.get(index) : listed.get(index - seeds.size());
+            if (!address.equals(self.address()) && !byAddress.containsKey(address)) {
+                actions.add(send(address, MemberPacket.Kind.PING, ++sequence, 0, 0));
+                wanted--;
+            }
+        }
+    }
+
+    private void push(long nowNanos, List<MemberAction> actions) {
+        double seconds = (nowNanos - pushRefilledNanos) / 1e9;
+        pushRefilledNanos = nowNanos;
+        pushTokens = Math.min(MemberSettings.PUSH_BURST, pushTokens + seconds * MemberSettings.PUSH_PER_SECOND);
+        if (!pushDue || pushTokens < 1) {
+            return;
+        }
+        pushDue = false;
+        for (Entry entry : pick((int) Math.min(MemberSettings.PUSH_FANOUT, pushTokens), null)) {
+            pushTokens--;
+            actions.add(send(entry.member.address(), MemberPacket.Kind.ACK, 0, 0, 0));
+        }
+    }
+
+    private void answer(MemberPacket ping, List<MemberAction> actions) {
+        if (ping.target() == 0) {
+            actions.add(send(ping.sender().address(), MemberPacket.Kind.ACK, ping.sequence(), 0, 0));
+            return;
+        }
+        List<Member> page = new ArrayList<>(MemberPacket.UPDATE_LIMIT);
+        int room = MemberPacket.SIZE_LIMIT_BYTES
+                - MemberPacket.headerSizeBytes(ping.sequence(), self, ping.target(), 0, beacon());
+        long next = 0;
+        for (Entry entry :
+                entries.tailMap(new IncarnationId(ping.target()), true).values()) {
+            if (!entry.member.state().isReachable()) {
+                continue;
+            }
+            int size = EncodedSize.ofMessage(entry.member.encodedSizeBytes());
+            if (page.size() == MemberPacket.UPDATE_LIMIT || size > room) {
+                next = entry.member.incarnation().value();
+                break;
+            }
+            room -= size;
+            page.add(entry.member);
+        }
+        actions.add(new MemberAction.SendPacket(
+                ping.sender().address(),
+                new MemberPacket(MemberPacket.Kind.ACK, ping.sequence(), self, next, 0, beacon(), page)));
+    }
+
+    private void relay(MemberPacket request, long nowNanos, List<MemberAction> actions) {
+        Entry target = entries.get(new IncarnationId(request.target()));
+        if (target == null) {
+            return;
+        }
+        long relaySequence = ++sequence;
+        relays.put(
+                relaySequence,
+                new Relay(request.sender().address(), request.sequence(), request.target(), nowNanos + RELAY_NANOS));
+        actions.add(send(target.member.address(), MemberPacket.Kind.PING, relaySequence, 0, request.target()));
+    }
+
+    private void acknowledge(MemberPacket ack, long nowNanos, List<MemberAction> actions) {
+        long sender = ack.sender().incarnation().value();
+        if (probe != null && probe.sequence == ack.sequence()) {
+            long target = probe.entry.member.incarnation().value();
+            if (sender == target) {
+                if (!probe.acknowledged) {
+                    actions.add(new MemberAction.ExtendActivity(probe.sentNanos));
+                }
+                probe.acknowledged = true;
+                if (probe.repair) {
+                    repairCursor = ack.target() == 0 ? 1 : ack.target();
+                }
+            } else if (ack.target() == target) {
+                probe.acknowledged = true;
+            }
+        } else if (sync != null && sync.sequence == ack.sequence()) {
+            sync.failures = 0;
+            if (ack.target() == 0) {
+                // When many daemons start together, the partner's list was itself incomplete.
+                resyncDue = sync.found > 0;
+                resyncNanos = nowNanos + RESYNC_NANOS;
+                sync = null;
+            } else {
+                sync.cursor = ack.target();
+                requestPage(nowNanos, actions);
+            }
+        } else if (ack.sequence() != 0) {
+            Relay relay = relays.get(ack.sequence());
+            if (relay != null && relay.target == sender) {
+                relays.remove(ack.sequence());
+                actions.add(send(relay.origin, MemberPacket.Kind.ACK, relay.originSequence, sender, 0));
+            }
+        }
+    }
+
+    private MemberAction send(
+            MemberAddress to, MemberPacket.Kind kind, long packetSequence, long target, long expected) {
+        TableBeacon beacon = beacon();
+        int room = MemberPacket.SIZE_LIMIT_BYTES
+                - MemberPacket.headerSizeBytes(packetSequence, self, target, expected, beacon);
+        List<Member> updates = queue.take(MemberPacket.UPDATE_LIMIT, room);
+        return new MemberAction.SendPacket(
+                to, new MemberPacket(kind, packetSequence, self, target, expected, beacon, updates));
+    }
+
+    private TableBeacon beacon() {
+        if (!storeConfirmed) {
+            return new TableBeacon(ownTableVersion, TableBeacon.NEVER_CONFIRMED, storeAway);
+        }
+        // Rounding up and 2 ms for the way keep the age from shrinking as it passes from daemon to daemon.
+        long ageMillis = Math.max(0, TimeUnit.NANOSECONDS.toMillis(lastObservedNanos - storeConfirmedNanos)) + 2;
+        return new TableBeacon(ownTableVersion, (int) Math.min(ageMillis, TableBeacon.NEVER_CONFIRMED), storeAway);
+    }
+
+    private void enqueue(Member update) {
+        // A daemon that has just started knows few members, but the VM list tells how many there will be.
+        int bits = 32 - Integer.numberOfLeadingZeros(Math.max(reachable.size(), listed.size()) + 1);
+        queue.add(update, 2 * bits);
+        pushDue = true;
+    }
+
+    private List<Entry> pick(int count, Entry excluded) {
+        List<Entry> picked = new ArrayList<>(count);
+        for (int draw = 0; draw < 4 * count && picked.size() < count && !reachable.isEmpty(); draw++) {
+            Entry entry = reachable.get(random.nextInt(reachable.size()));
+            if (entry != excluded && !picked.contains(entry)) {
+                picked.add(entry);
+            }
+        }
+        return picked;
+    }
+
+    private List<Entry> pickHelpers(Entry target) {
+        ZoneId targetZone = target.member.zone();
+        List<Entry> helpers = new ArrayList<>(MemberSettings.HELPERS);
+        for (int draw = 0; draw < 8 * MemberSettings.HELPERS && helpers.size() < MemberSettings.HELPERS - 1; draw++) {
+            Entry entry = reachable.get(random.nextInt(reachable.size()));
+            ZoneId zone = entry.member.zone();
+            boolean third = !zone.equals(targetZone) && !zone.equals(self.zone());
+            if (third && entry.member.state() == MemberState.ALIVE && !helpers.contains(entry)) {
+                helpers.add(entry);
+            }
+        }
+        for (Entry entry : pick(MemberSettings.HELPERS, target)) {
+            if (helpers.size() < MemberSettings.HELPERS && !helpers.contains(entry)) {
+                helpers.add(entry);
+            }
+        }
+        return helpers;
+    }
+
+    private void addReachable(Entry entry) {
+        entry.index = reachable.size();
+        reachable.add(entry);
+        // A random position among those not yet pinged in this round, so that new members are pinged soon.
+        int from = Math.min(ringPosition, entry.index);
+        swap(entry.index, from + random.nextInt(entry.index - from + 1));
+        byAddress.put(entry.member.address(), entry);
+    }
+
+    private void removeReachable(Entry entry) {
+        int last = reachable.size() - 1;
+        swap(entry.index, last);
+        reachable.remove(last);
+        entry.index = -1;
+        byAddress.remove(entry.member.address(), entry);
+        if (probe != null && probe.entry == entry) {
+            probe = null;
+        }
+    }
+
+    private void swap(int a, int b) {
+        Entry first = reachable.get(a);
+        Entry second = reachable.get(b);
+        reachable.set(a, second);
+        reachable.set(b, first);
+        second.index = a;
+        first.index = b;
+    }
+
+    private static final class Entry {
+        private Member member;
+        /** The end of the suspicion of a suspect, or of the memory of a dead member. */
+        private long deadlineNanos;
+
+        private long accuseAllowedNanos;
+        private int index = -1;
+
+        Entry(Member member, long nowNanos) {
+            this.member = member;
+            this.accuseAllowedNanos = nowNanos;
+        }
+    }
+
+    private static final class Probe {
+        private final Entry entry;
+        private final long sequence;
+        private final long sentNanos;
+        private final boolean repair;
+        private boolean indirect;
+        private boolean acknowledged;
+
+        Probe(Entry entry, long sequence, long sentNanos, boolean repair) {
+            this.entry = entry;
+            this.sequence = sequence;
+            this.sentNanos = sentNanos;
+            this.repair = repair;
+        }
+    }
+
+    private static final class Sync {
+        private MemberAddress partner;
+        private long cursor = 1;
+        private long sequence;
+        private long sentNanos;
+        private int failures;
+        private int found;
+
+        Sync(MemberAddress partner) {
+            this.partner = partner;
+        }
+    }
+
+    private record Relay(MemberAddress origin, long originSequence, long target, long deadlineNanos) {}
+}
--- /dev/null
+++ b/coordination/src/test/java/org/heatherreach/coordination/member/MemberListProperties.java
@@ -0,0 +1,72 @@
+package org.heatherreach.coordination.member;
+
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.Example;
+import org.heatherreach.state.id.DaemonId;
+import org.heatherreach.state.id.IncarnationId;
+import org.heatherreach.state.id.RegionId;
+import org.heatherreach.state.id.ZoneId;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class MemberListProperties {
+    /** Guards against packets over 1,200 bytes, or with more than 8 updates, when ids are long. */
+    @Example
+    void packetsStayWithinTheLimit() {
+        Random random = new Random(7107);
+        MemberList list = new MemberList(MemberSettings.standard(), member(1, 40), List.of(), random, 0);
+        for (int i = 2; i < 300; i++) {
+            list.receive(ping(member(i, 60)), i);
+        }
+        for (int second = 1; second < 30; second++) {
+            for (MemberAction action : list.tick(second * 900_000_000L)) {
+                if (action instanceof MemberAction.SendPacket send) {
+                    assertThat(send.packet().encodedSizeBytes()).isLessThanOrEqualTo(MemberPacket.SIZE_LIMIT_BYTES);
+                }
+            }
+        }
+    }
+
+    /** Guards against a dead member that an old update in a slow packet revives. */
+    @Example
+    void oldUpdateDoesNotReviveTheDead() {
+        MemberList list = new MemberList(MemberSettings.standard(), member(1, 5), List.of(), new Random(1), 0);
+        Member other = member(2, 5);
+        list.receive(ping(other), 0);
+        Member third = member(3, 5);
+        list.receive(
+                new MemberPacket(
+                        MemberPacket.Kind.ACK, 0, third, 0, 0, beacon(), List.of(other.with(MemberState.DEAD, 0))),
+                1);
+        list.receive(new MemberPacket(MemberPacket.Kind.ACK, 0, third, 0, 0, beacon(), List.of(other)), 2);
+        assertThat(list.view().contains(other.incarnation())).isFalse();
+        list.receive(
+                new MemberPacket(
+                        MemberPacket.Kind.ACK, 0, third, 0, 0, beacon(), List.of(other.with(MemberState.ALIVE, 1))),
+                3);
+        assertThat(list.view().contains(other.incarnation())).isTrue();
+    }
+
+    private static MemberPacket ping(Member sender) {
+        return new MemberPacket(MemberPacket.Kind.PING, 1, sender, 0, 0, beacon(), List.of());
+    }
+
+    private static TableBeacon beacon() {
+        return new TableBeacon(0, TableBeacon.NEVER_CONFIRMED, false);
+    }
+
+    private static Member member(int number, int nameLength) {
+        return new Member(
+                new DaemonId("d".repeat(nameLength) + number),
+                new IncarnationId(number),
+                0,
+                MemberState.ALIVE,
+                new ZoneId("zone-" + "z".repeat(nameLength)),
+                new RegionId("region"),
+                new MemberAddress("10.0.0." + number, 7_000),
+                8_000,
+                0);
+    }
+}
