--- /dev/null
+++ b/coordination/src/main/java/org/heatherreach/coordination/owner/package-info.java
@@ -0,0 +1,2 @@
+/** Assignment of service parts and of the table readers to daemons by rendezvous hash. */
+package org.heatherreach.coordination.owner;
