--- /dev/null
+++ b/coordination/src/main/java/org/heatherreach/coordination/table/TablePush.java
@@ -0,0 +1,16 @@
+package org.heatherreach.coordination.table;
+
+import java.util.Objects;
+
+/**
+ * Tells a peer about a version. Immutable by convention: nobody changes the payload.
+ *
+ * @param version the version
+ * @param payload an encoded {@link TablePayload}; without content it asks the receiver to report its version
+ */
+public record TablePush(long version, byte[] payload) {
+    /** Creates a message. */
+    public TablePush {
+        Objects.requireNonNull(payload, "payload");
+    }
+}
