Add execution at most once: keys, executor and witness records, outcome resolution

Messages carry the number of the attempt, so that a late withdrawal can't remove the intent of the next attempt. Adds RefusalReason.RECORDS_FULL for the counted refusal when there is no room for a record.

An indirect acknowledgement extends the activity deadline like a direct one; with 20 % loss three direct ones in a row are missed too often.

--- a/coordination/src/main/java/org/heatherreach/coordination/member/MemberList.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/member/MemberList.java
@@ -599,16 +599,13 @@
         long sender = ack.sender().incarnation().value();
         if (probe != null && probe.sequence == ack.sequence()) {
             long target = probe.entry.member.incarnation().value();
-            if (sender == target) {
-                if (!probe.acknowledged) {
-                    actions.add(new MemberAction.ExtendActivity(probe.sentNanos));
-                }
-                probe.acknowledged = true;
-                if (probe.repair) {
-                    repairCursor = ack.target() == 0 ? 1 : ack.target();
-                }
-            } else if (ack.target() == target) {
+            boolean direct = sender == target;
+            if (!probe.acknowledged && (direct || ack.target() == target)) {
                 probe.acknowledged = true;
+                actions.add(new MemberAction.ExtendActivity(probe.sentNanos));
+            }
+            if (direct && probe.repair) {
+                repairCursor = ack.target() == 0 ? 1 : ack.target();
             }
         } else if (sync != null && sync.sequence == ack.sequence()) {
             sync.failures = 0;
--- /dev/null
+++ b/coordination/src/main/java/org/heatherreach/coordination/once/Intent.java
@@ -0,0 +1,9 @@
+package org.heatherreach.coordination.once;
+
+/**
+ * Tells a witness that the executor is about to dispatch. Immutable and safe for use by any thread.
+ *
+ * @param attempt the attempt
+ * @param fingerprint the hash of the request that is bound to the key
+ */
+public record Intent(KeyAttempt attempt, long fingerprint) {}
--- /dev/null
+++ b/coordination/src/main/java/org/heatherreach/coordination/once/NaiveExecutionRecords.java
@@ -0,0 +1,74 @@
+package org.heatherreach.coordination.once;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.heatherreach.state.id.IncarnationId;
+import org.heatherreach.state.id.RequestId;
+import org.heatherreach.state.outcome.RefusalReason;
+
+/**
+ * The naive version for differential tests and measurements: it dispatches every key that it has no answer for,
+ * without witnesses. Confined to one thread.
+ */
+public final class NaiveExecutionRecords implements OnceExecutor {
+    private final Map<ExecutionKey, RecordedAnswer> answers = new HashMap<>();
+    private final Map<KeyAttempt, RequestId> admitted = new HashMap<>();
+    private int attempts;
+
+    @Override
+    public List<OnceAction> begin(ExecutionKey key, long fingerprint, RequestId request, long nowNanos) {
+        RecordedAnswer answer = answers.get(key);
+        if (answer != null) {
+            return List.of(new OnceAction.Replay(request, answer));
+        }
+        KeyAttempt attempt = new KeyAttempt(key, ++attempts);
+        admitted.put(attempt, request);
+        return List.of(new OnceAction.Admit(attempt, request));
+    }
+
+    @Override
+    public List<OnceAction> prepare(KeyAttempt attempt, long nowNanos) {
+        return List.of(new OnceAction.Dispatch(attempt, admitted.remove(attempt)));
+    }
+
+    @Override
+    public List<OnceAction> acknowledge(IncarnationId witness, IntentAck ack, long nowNanos) {
+        return List.of();
+    }
+
+    @Override
+    public List<OnceAction> refuse(KeyAttempt attempt, RefusalReason reason, long nowNanos) {
+        return List.of();
+    }
+
+    @Override
+    public List<OnceAction> complete(KeyAttempt attempt, RecordedAnswer answer, long nowNanos) {
+        answers.put(attempt.key(), answer);
+        return List.of();
+    }
+
+    @Override
+    public List<OnceAction> lose(KeyAttempt attempt, RefusalReason reason, long nowNanos) {
+        return List.of();
+    }
+
+    @Override
+    public OutcomeAnswer query(OutcomeQuery query, long nowNanos) {
+        RecordedAnswer answer = answers.get(query.key());
+        return answer == null
+                ? OutcomeAnswer.of(query.key(), OutcomeAnswer.Kind.UNKNOWN_KEY)
+                : OutcomeAnswer.recorded(query.key(), 0, answer);
+    }
+
+    @Override
+    public void extendActivity(long sentNanos) {
+        // The naive version dispatches at any time.
+    }
+
+    @Override
+    public List<OnceAction> tick(long nowNanos) {
+        return List.of();
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/heatherreach/coordination/once/NaiveOutcomeLookup.java
@@ -0,0 +1,35 @@
+package org.heatherreach.coordination.once;
+
+import java.util.List;
+import java.util.OptionalLong;
+
+import org.heatherreach.coordination.member.MemberView;
+import org.heatherreach.state.id.IncarnationId;
+import org.heatherreach.state.id.RequestId;
+
+/**
+ * The naive version for differential tests and measurements: a key whose owner does not answer is sent again by whoever
+ * was asked. Confined to one thread.
+ */
+public final class NaiveOutcomeLookup implements OutcomeLookup {
+    @Override
+    public List<OnceAction> begin(
+            ExecutionKey key, OptionalLong fingerprint, RequestId request, MemberView members, long nowNanos) {
+        return List.of(new OnceAction.RunAgain(key, request));
+    }
+
+    @Override
+    public List<OnceAction> answer(IncarnationId from, OutcomeAnswer answer, long nowNanos) {
+        return List.of();
+    }
+
+    @Override
+    public List<OnceAction> fail(IncarnationId to, ExecutionKey key, long nowNanos) {
+        return List.of();
+    }
+
+    @Override
+    public List<OnceAction> tick(long nowNanos) {
+        return List.of();
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/heatherreach/coordination/once/ExecutionRecordsTest.java
@@ -0,0 +1,151 @@
+package org.heatherreach.coordination.once;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.vavr.control.Either;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.heatherreach.coordination.member.MemberAddress;
+import org.heatherreach.state.id.IncarnationId;
+import org.heatherreach.state.id.RequestId;
+import org.heatherreach.state.outcome.RefusalReason;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ExecutionRecordsTest {
+    private static final IncarnationId SELF = new IncarnationId(11);
+    private static final IncarnationId FIRST = new IncarnationId(12);
+    private static final IncarnationId SECOND = new IncarnationId(13);
+    private static final RequestId REQUEST = new RequestId("a");
+    private static final RequestId RETRY = new RequestId("b");
+    private static final long SECONDS = 1_000_000_000L;
+
+    private final OnceLimits limits = new OnceLimits(600 * SECONDS, SECONDS, 3 * SECONDS, 2, 2, 100_000);
+    private final ExecutionRecords records = new ExecutionRecords(SELF, limits, 0);
+
+    private static ExecutionKey key(long sequence) {
+        return new ExecutionKey(SELF, new MemberAddress("10.0.0.1", 8_000), FIRST, SECOND, sequence, 600 * SECONDS);
+    }
+
+    private KeyAttempt prepared(ExecutionKey key) {
+        OnceAction.Admit admit =
+                (OnceAction.Admit) records.begin(key, 7, REQUEST, 0).get(0);
+        records.prepare(admit.attempt(), 0);
+        return admit.attempt();
+    }
+
+    /** Guards against a key that is taken for valid although it was damaged on its way. */
+    @Property(seed = "7501", tries = 500)
+    void damagedKeyIsRefused(@ForAll @IntRange(min = 0, max = 200) int place, @ForAll char replacement) {
+        String text = key(9).toText();
+        assertThat(ExecutionKey.parse(text)).isEqualTo(Either.right(key(9)));
+        int at = place % text.length();
+        if (text.charAt(at) != replacement) {
+            String damaged = text.substring(0, at) + replacement + text.substring(at + 1);
+            assertThat(ExecutionKey.parse(damaged).isLeft()).isTrue();
+        }
+        assertThat(KeyAttempt.parse(new KeyAttempt(key(9), 3).toText()))
+                .isEqualTo(Either.right(new KeyAttempt(key(9), 3)));
+    }
+
+    /** Guards against a second dispatch on the acknowledgement of the other witness, or a repeated one. */
+    @Example
+    void secondAcknowledgementDispatchesNothing() {
+        KeyAttempt attempt = prepared(key(1));
+        assertThat(records.acknowledge(FIRST, new IntentAck(attempt, true), 1))
+                .containsExactly(new OnceAction.Dispatch(attempt, REQUEST));
+        assertThat(records.acknowledge(SECOND, new IntentAck(attempt, true), 2)).isEmpty();
+        assertThat(records.acknowledge(FIRST, new IntentAck(attempt, true), 3)).isEmpty();
+    }
+
+    /** Guards against a dispatch by a daemon that was paused while the acknowledgement waited in its buffer. */
+    @Example
+    void acknowledgementAfterAPauseIsRefused() {
+        KeyAttempt attempt = prepared(key(1));
+        List<OnceAction> actions = records.acknowledge(FIRST, new IntentAck(attempt, true), 20 * SECONDS);
+        assertThat(actions).contains(new OnceAction.Refuse(REQUEST, RefusalReason.ACTIVITY_LAPSED));
+        assertThat(records.dispatches()).isZero();
+    }
+
+    /** Guards against an answer given to another request with the same key. */
+    @Example
+    void otherFingerprintIsRefused() {
+        prepared(key(1));
+        assertThat(records.begin(key(1), 8, RETRY, 1))
+                .containsExactly(new OnceAction.Refuse(RETRY, RefusalReason.INVALID_KEY));
+    }
+
+    /** Guards against a late acknowledgement of an ended attempt that dispatches the next one without its intent. */
+    @Example
+    void lateAcknowledgementOfAnEarlierAttemptIsIgnored() {
+        KeyAttempt attempt = prepared(key(1));
+        assertThat(records.tick(SECONDS)).contains(new OnceAction.Refuse(REQUEST, RefusalReason.NO_WITNESS));
+        OnceAction.Admit again =
+                (OnceAction.Admit) records.begin(key(1), 7, RETRY, SECONDS).get(0);
+        records.prepare(again.attempt(), SECONDS);
+        assertThat(records.acknowledge(FIRST, new IntentAck(attempt, true), SECONDS + 1))
+                .isEmpty();
+        assertThat(records.acknowledge(FIRST, new IntentAck(again.attempt(), true), SECONDS + 2))
+                .containsExactly(new OnceAction.Dispatch(again.attempt(), RETRY));
+    }
+
+    /** Guards against records that are evicted for room, and against a refusal that is not counted. */
+    @Example
+    void fullRecordsRefuse() {
+        prepared(key(1));
+        prepared(key(2));
+        assertThat(records.begin(key(3), 7, RETRY, 1))
+                .containsExactly(new OnceAction.Refuse(RETRY, RefusalReason.RECORDS_FULL));
+        assertThat(records.refusedForRoom()).isEqualTo(1);
+        records.tick(600 * SECONDS);
+        assertThat(records.size()).isZero();
+        assertThat(records.begin(key(1), 7, RETRY, 600 * SECONDS))
+                .containsExactly(new OnceAction.Refuse(RETRY, RefusalReason.KEY_EXPIRED));
+    }
+
+    /** Guards against a large body that is kept, or a cut body that is replayed as complete. */
+    @Example
+    void longBodyIsNotRecorded() {
+        KeyAttempt attempt = prepared(key(1));
+        records.acknowledge(FIRST, new IntentAck(attempt, true), 1);
+        byte[] body = new byte[RecordedAnswer.BODY_LIMIT_BYTES + 1];
+        List<OnceAction> actions =
+                new ArrayList<>(records.complete(attempt, new RecordedAnswer(200, "", body, true), 2));
+        assertThat(actions).hasSize(2);
+        OnceAction.Replay replay =
+                (OnceAction.Replay) records.begin(key(1), 7, RETRY, 3).get(0);
+        assertThat(replay.answer().complete()).isFalse();
+        assertThat(replay.answer().status()).isEqualTo(200);
+    }
+
+    /** Guards against a full witness that bars without a record, or acknowledges an intent that it can't keep. */
+    @Example
+    void fullWitnessRefusesIntentsAndBars() {
+        WitnessRecords witness = new WitnessRecords(FIRST, limits);
+        for (int i = 1; i <= 2; i++) {
+            assertThat(witness.intent(new Intent(new KeyAttempt(key(i), 1), 7), 0)
+                            .accepted())
+                    .isTrue();
+        }
+        assertThat(witness.intent(new Intent(new KeyAttempt(key(3), 1), 7), 0).accepted())
+                .isFalse();
+        assertThat(witness.query(new OutcomeQuery(key(4), true), 0).kind()).isEqualTo(OutcomeAnswer.Kind.UNKNOWN_KEY);
+        assertThat(witness.refusedForRoom()).isEqualTo(2);
+    }
+
+    /** Guards against a late withdrawal that removes the intent of the next attempt. */
+    @Example
+    void lateWithdrawalKeepsTheNextIntent() {
+        WitnessRecords witness = new WitnessRecords(FIRST, limits);
+        witness.intent(new Intent(new KeyAttempt(key(1), 2), 7), 0);
+        witness.record(new OutcomeCopy(new KeyAttempt(key(1), 1), 7, RecordedAnswer.WITHDRAWN), 1);
+        assertThat(witness.query(new OutcomeQuery(key(1), true), 2).kind()).isEqualTo(OutcomeAnswer.Kind.INTENT);
+        witness.record(new OutcomeCopy(new KeyAttempt(key(1), 2), 7, RecordedAnswer.WITHDRAWN), 3);
+        assertThat(witness.query(new OutcomeQuery(key(1), true), 4).kind()).isEqualTo(OutcomeAnswer.Kind.BARRED);
+        assertThat(witness.intent(new Intent(new KeyAttempt(key(1), 3), 7), 5).accepted())
+                .isFalse();
+    }
+}
--- a/state/src/main/java/org/heatherreach/state/outcome/RefusalReason.java
+++ b/state/src/main/java/org/heatherreach/state/outcome/RefusalReason.java
@@ -45,6 +45,8 @@
     CRASH_SUSPECT(422, Outcome.NOT_RUN),
     /** The ring to the scheduling duty is full. */
     RING_FULL(503, Outcome.NOT_RUN),
+    /** The daemon has no room to record another keyed request. */
+    RECORDS_FULL(503, Outcome.NOT_RUN),
     /** The daemon is isolated from its peers and the store, so its table may be out of date. */
     ISOLATED(503, Outcome.NOT_RUN),
     /** The daemon was paused and no longer dispatches what it held. */
