Check each response against its own request under faults

A property sends thousands of requests to servers that answer late, short, long, twice or not at all, and compares each complete answer with the body of its own request. It found a connection that went back to the pool after a response that named another request; such a connection is now closed first.

--- a/transport/src/main/java/org/heatherreach/transport/http/BackendAttempt.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/BackendAttempt.java
@@ -176,9 +176,22 @@
         if (forwardedBy.isEmpty() && isShed(response)) {
             return drainShed(response, connection);
         }
+        String echoedId = response.responseHeaders().get(CallHeaders.REQUEST_ID);
+        if (echoedId != null && !echoedId.equals(request.requestId().value())) {
+            // The answer to this request may still arrive, and must not meet the next request on this connection.
+            guard.distrust();
+            return discard(
+                    connection,
+                    new BackendFailure(FailureKind.TRUNCATED, "the response names another request " + echoedId, 0));
+        }
         if (guard.isUnframed()) {
-            return Mono.error(new BackendFailure(
-                    FailureKind.TRUNCATED, "the response states no length, so its end can't be told from a break", 0));
+            guard.distrust();
+            return discard(
+                    connection,
+                    new BackendFailure(
+                            FailureKind.TRUNCATED,
+                            "the response states no length, so its end can't be told from a break",
+                            0));
         }
         boolean bodyless = "HEAD".equals(request.method()) || statusCode == 204 || statusCode == 304;
         long lengthBytes = headers.contains(HttpHeaderNames.CONTENT_LENGTH)
@@ -218,7 +231,7 @@
                 retryAfterMillis(response.responseHeaders().get(HttpHeaderNames.RETRY_AFTER)));
         String length = response.responseHeaders().get(HttpHeaderNames.CONTENT_LENGTH);
         if (length == null || length.length() > DRAINED_SHED_DIGITS) {
-            return Mono.error(failure);
+            return discard(connection, failure);
         }
         return connection
                 .inbound()
@@ -230,6 +243,12 @@
                 .onErrorMap(error -> failure);
     }
 
+    /** Releases what was received, which would otherwise stay queued, and ends the exchange with a failure. */
+    private static Mono<Answer> discard(Connection connection, BackendFailure failure) {
+        connection.inbound().receive().subscribe().dispose();
+        return Mono.error(failure);
+    }
+
     private static long retryAfterMillis(String value) {
         try {
             return TimeUnit.SECONDS.toMillis(Math.min(Long.parseLong(value), MAX_RETRY_AFTER_SECONDS));
--- a/transport/src/main/java/org/heatherreach/transport/http/BackendGuard.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/BackendGuard.java
@@ -19,6 +19,7 @@
 
     private final RequestMeters meters;
     private final MessageScanner scanner;
+    private ChannelHandlerContext context;
     private boolean bodyless;
     private boolean active;
     private boolean closed;
@@ -40,11 +41,21 @@
         return scanner.state() == MessageScanner.State.UNTIL_CLOSE;
     }
 
+    /** Ends the connection because what it carries can't be trusted; called on its event loop. */
+    void distrust() {
+        closeInDoubt(context);
+    }
+
     /** Returns whether no exchange is under way and the connection is free of doubt. */
     boolean isReusable() {
         return !active && !closed;
     }
 
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object msg) throws Exception {
         if (!(msg instanceof ByteBuf bytes)) {
@@ -79,12 +90,17 @@
             closeInDoubt(ctx);
             return;
         }
-        if (index < end) {
-            // Closed before the response is passed on, so that the pool never sees the connection as usable.
-            closeInDoubt(ctx);
+        boolean leftover = index < end;
+        if (leftover) {
+            // Marked before the response is passed on, so that the pool never takes the connection as usable.
+            closed = true;
             bytes.writerIndex(index);
         }
         ctx.fireChannelRead(bytes);
+        if (leftover) {
+            meters.countDoubtfulConnection();
+            ctx.close();
+        }
     }
 
     private void closeInDoubt(ChannelHandlerContext ctx) {
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -136,30 +136,32 @@
             return Mono.error(new RequestRefusal(RefusalReason.BODY_TOO_LARGE));
         }
         if (keyed || (!chunked && lengthBytes <= parts.limits().retainedBodyBytes())) {
-            return limited(limitBytes)
-                    .collect(() -> channel.alloc().compositeBuffer(), (all, part) -> all.addComponent(true, part))
-                    .map(all -> {
-                        byte[] bytes = new byte[all.readableBytes()];
-                        all.readBytes(bytes).release();
-                        return RequestBody.retained(bytes);
-                    });
+            return checked(limitBytes)
+                    .collect(ByteArrayOutputStream::new, CallerExchange::append)
+                    .map(all -> RequestBody.retained(all.toByteArray()));
         }
-        return Mono.just(RequestBody.streamed(limited(limitBytes), chunked ? -1 : lengthBytes));
+        return Mono.just(RequestBody.streamed(checked(limitBytes).map(ByteBuf::retain), chunked ? -1 : lengthBytes));
     }
 
-    private Flux<ByteBuf> limited(long limitBytes) {
+    /** Returns the body as it arrives; each buffer is released when its signal returns, unless it is retained. */
+    private Flux<ByteBuf> checked(long limitBytes) {
         return Flux.defer(() -> {
             long[] receivedBytes = {0};
-            return inbound.receive().retain().doOnNext(part -> {
+            return inbound.receive().doOnNext(part -> {
                 receivedBytes[0] += part.readableBytes();
                 if (receivedBytes[0] > limitBytes) {
-                    part.release();
                     throw new RequestRefusal(RefusalReason.BODY_TOO_LARGE);
                 }
             });
         });
     }
 
+    private static void append(ByteArrayOutputStream all, ByteBuf part) {
+        byte[] bytes = new byte[part.readableBytes()];
+        part.getBytes(part.readerIndex(), bytes);
+        all.writeBytes(bytes);
+    }
+
     private Mono<Answer> decide(RequestBody body) {
         long bodyHash = body.isRetained() ? HASH.hashBytes(body.bytes()) : body.lengthBytes();
         long requestHash = HASH.hashLongs(
@@ -367,6 +369,7 @@
 
     private Mono<Answer> stream(int statusCode, HttpHeaders headers, Flux<ByteBuf> body) {
         if (!enter(Phase.RELAYING)) {
+            body.subscribe().dispose();
             return Mono.never();
         }
         BodyRecorder recorder = new BodyRecorder(executed);
--- /dev/null
+++ b/transport/src/test/java/org/heatherreach/transport/http/ProxyFixture.java
@@ -0,0 +1,193 @@
+package org.heatherreach.transport.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vavr.control.Option;
+import org.heatherreach.state.id.IncarnationId;
+import org.heatherreach.state.id.RequestId;
+import org.heatherreach.state.id.ServerId;
+import org.heatherreach.state.id.ServiceId;
+import org.heatherreach.state.id.ZoneId;
+import org.heatherreach.state.rank.Rank;
+import org.heatherreach.state.table.RankLimits;
+import org.heatherreach.state.table.ServiceLimits;
+import org.heatherreach.transport.metric.RequestMeters;
+import reactor.util.Loggers;
+
+/** A daemon's request path in front of scripted servers, all on 127.0.0.1. */
+final class ProxyFixture implements AutoCloseable {
+    // Reactor Netty logs each broken connection, of which tests make thousands. Held, because loggers are weak.
+    private static final java.util.logging.Logger REACTOR_LOG = java.util.logging.Logger.getLogger("reactor");
+
+    static {
+        Loggers.useJdkLoggers();
+        REACTOR_LOG.setLevel(java.util.logging.Level.OFF);
+    }
+
+    static final ServiceId SERVICE = new ServiceId("shop");
+
+    final SimpleMeterRegistry registry = new SimpleMeterRegistry();
+    final RequestMeters meters = new RequestMeters(registry);
+    final ServingGate gate = new ServingGate();
+    final FixedCatalog catalog = new FixedCatalog();
+    final List<ScriptedBackend> backends = new ArrayList<>();
+    final Map<Integer, ExchangeResult> results = new java.util.concurrent.ConcurrentHashMap<>();
+    private final AtomicLong sequence = new AtomicLong();
+    private RequestScheduler scheduler;
+    private CallerServer server;
+
+    ProxyFixture backend(ScriptedBackend.Script script) throws IOException {
+        backends.add(new ScriptedBackend(script));
+        return this;
+    }
+
+    ProxyFixture start() {
+        return start(UnaryOperator.identity());
+    }
+
+    /** Starts the request path; the operator replaces parts. */
+    ProxyFixture start(UnaryOperator<ProxyParts> change) {
+        List<BackendServer> servers = new ArrayList<>();
+        for (ScriptedBackend backend : backends) {
+            servers.add(server("s" + servers.size(), backend.address()));
+        }
+        return start(servers, change);
+    }
+
+    ProxyFixture start(List<BackendServer> servers, UnaryOperator<ProxyParts> change) {
+        LocalScheduler local = new LocalScheduler(catalog, new SplittableRandom(7), 4096);
+        ProxyParts parts = change.apply(new ProxyParts(
+                ProxyMode.FLEET,
+                ProxyLimits.defaults(),
+                gate,
+                catalog,
+                local,
+                Option.none(),
+                ExchangeObserver.NONE,
+                (service, fingerprint) -> false,
+                meters,
+                new IncarnationId(0xabc),
+                () -> new RequestId("r" + sequence.incrementAndGet())));
+        scheduler = parts.scheduler();
+        scheduler.changeServers(SERVICE, servers);
+        server = new CallerServer(new InetSocketAddress("127.0.0.1", 0), 2, parts, Map.of());
+        return this;
+    }
+
+    static BackendServer server(String id, InetSocketAddress address) {
+        return new BackendServer(new ServerId(id), address, new ZoneId("z1"));
+    }
+
+    /** Returns limits with short times, for tests that wait for them. */
+    static ProxyParts withLimits(ProxyParts parts, ProxyLimits limits) {
+        return new ProxyParts(
+                parts.mode(),
+                limits,
+                parts.gate(),
+                parts.catalog(),
+                parts.scheduler(),
+                parts.keyed(),
+                parts.observer(),
+                parts.crashFilter(),
+                parts.meters(),
+                parts.incarnation(),
+                parts.requestIds());
+    }
+
+    static ProxyParts withKeyed(ProxyParts parts, KeyedExecution keyed) {
+        return new ProxyParts(
+                parts.mode(),
+                parts.limits(),
+                parts.gate(),
+                parts.catalog(),
+                parts.scheduler(),
+                Option.of(keyed),
+                parts.observer(),
+                parts.crashFilter(),
+                parts.meters(),
+                parts.incarnation(),
+                parts.requestIds());
+    }
+
+    static ProxyParts withObserver(ProxyParts parts, ExchangeObserver observer, CrashFilter filter) {
+        return new ProxyParts(
+                parts.mode(),
+                parts.limits(),
+                parts.gate(),
+                parts.catalog(),
+                parts.scheduler(),
+                parts.keyed(),
+                observer,
+                filter,
+                parts.meters(),
+                parts.incarnation(),
+                parts.requestIds());
+    }
+
+    int port() {
+        return server.port();
+    }
+
+    RawCaller caller() throws IOException {
+        return new RawCaller(port());
+    }
+
+    double count(String name, String tag, String value) {
+        return registry.get(name).tag(tag, value).counter().count();
+    }
+
+    double count(String name) {
+        return registry.get(name).counter().count();
+    }
+
+    /** Waits for a condition; a test that never reaches it hangs visibly instead of failing on a slow machine. */
+    static void await(BooleanSupplier condition) {
+        while (!condition.getAsBoolean()) {
+            LockSupport.parkNanos(1_000_000);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        scheduler.close();
+        for (ScriptedBackend backend : backends) {
+            backend.close();
+        }
+    }
+
+    /** A table with one service whose limits tests may replace before the start. */
+    static final class FixedCatalog implements ServiceCatalog {
+        volatile ServiceLimits limits = new ServiceLimits(SERVICE, 50, 1000, 1000, 10);
+        volatile int timeoutMillis = 10_000;
+        volatile int queueLimit = 1000;
+
+        @Override
+        public Option<ServiceId> route(String path) {
+            return path.startsWith("/other") ? Option.none() : Option.of(SERVICE);
+        }
+
+        @Override
+        public Option<ServiceLimits> serviceLimits(ServiceId service) {
+            return SERVICE.equals(service) ? Option.of(limits) : Option.none();
+        }
+
+        @Override
+        public RankLimits rankLimits(ServiceId service, Rank rank) {
+            Map<Rank, RankLimits> ranks = new EnumMap<>(Rank.class);
+            ranks.put(rank, new RankLimits(rank, 1, 0, queueLimit, timeoutMillis));
+            return ranks.get(rank);
+        }
+    }
+}
