Return idle slots at once and replace the last idle slot

Cause: the owner knew holdings as of the last report, up to 250 ms old, so it recalled slots in use and missed idle ones. Change: a grant carries the idle slots to keep; the daemon returns any more with an immediate report and reports when its last idle slot is taken. A smaller reported holding counts as returned.

--- a/coordination/src/main/java/org/heatherreach/coordination/slot/LeasedSlotPool.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/LeasedSlotPool.java
@@ -79,6 +79,7 @@
     private Map<Rank, RankLimits> rankLimits;
     private IncarnationId owner;
     private int liveDaemons = 1;
+    private int idleTarget = UNLIMITED;
     private long appliedSequence;
     private long reportNumber;
     private long lastReportNanos;
@@ -148,6 +149,8 @@
                 Entry entry = new Entry(request, nowNanos);
                 admit(entry);
                 dispatch(entry, server, nowNanos, actions);
+                // The owner can replace the last idle slot before the next request arrives.
+                reportWanted |= !local && idleTarget > 0 && idleSlots() == 0;
                 report(nowNanos, actions);
                 return actions;
             }
@@ -259,6 +262,7 @@
             }
         }
         if (grant.sequence() >= appliedSequence) {
+            idleTarget = grant.idleTarget();
             for (Rank rank : RANKS) {
                 if (rank.ordinal() < grant.rankCaps().size()) {
                     caps[rank.ordinal()] = grant.rankCaps().get(rank.ordinal());
@@ -627,9 +631,35 @@
             blocked[rank] = !dispatchFirst(rank, nowNanos, actions);
             rank = nextRank(blocked);
         }
+        returnSurplus();
         report(nowNanos, actions);
     }
 
+    private int idleSlots() {
+        int idle = 0;
+        for (Server server : usable) {
+            idle += Math.max(0, Math.min(server.held, server.slots) - server.inUse);
+        }
+        return idle;
+    }
+
+    /** Gives idle slots above the target back, those of other zones first. */
+    private void returnSurplus() {
+        if (local) {
+            return;
+        }
+        int surplus = idleSlots() - idleTarget;
+        for (int i = usable.size() - 1; i >= 0 && surplus > 0; i--) {
+            Server server = usable.get(i);
+            int returned = Math.min(surplus, server.held - server.inUse);
+            if (returned > 0) {
+                server.held -= returned;
+                surplus -= returned;
+                reportWanted = true;
+            }
+        }
+    }
+
     /** The most urgent rank that may run, or in local operation the one that is furthest below its guarantee. */
     private int nextRank(boolean[] blocked) {
         int best = -1;
--- a/coordination/src/main/java/org/heatherreach/coordination/slot/SlotGrant.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/SlotGrant.java
@@ -17,6 +17,7 @@
  * @param reportNumber the report that this grant answers; zero if it answers none and so extends no lease
  * @param sequence grows with each change that the owner makes for the daemon
  * @param rankCaps limit on the running requests of each rank, by ordinal
+ * @param idleTarget the number of idle slots that the daemon keeps; it returns any more at once
  */
 public record SlotGrant(
         ServiceId service,
@@ -25,7 +26,8 @@
         int validMillis,
         long reportNumber,
         long sequence,
-        List<Integer> rankCaps) {
+        List<Integer> rankCaps,
+        int idleTarget) {
     /** Creates a grant. */
     public SlotGrant {
         Objects.requireNonNull(service, "service");
--- a/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
@@ -198,7 +198,10 @@
                 continue;
             }
             int granted = hold.granted;
-            if (hold.reportedHeld > granted) {
+            if (hold.reportedHeld < granted) {
+                // Returned, or expired at the daemon.
+                granted = hold.reportedHeld;
+            } else if (hold.reportedHeld > granted) {
                 // Leased by another owner before this one.
                 int free = hold.server.free() + hold.bound;
                 granted = view.mayUse(hold.server) ? Math.max(granted, Math.min(hold.reportedHeld, free)) : granted;
@@ -586,7 +589,14 @@
         return new LedgerAction.SendGrant(
                 view.daemon,
                 new SlotGrant(
-                        limits.service(), part, changedLeases(view), validMillis, reportNumber, view.sequence, caps));
+                        limits.service(),
+                        part,
+                        changedLeases(view),
+                        validMillis,
+                        reportNumber,
+                        view.sequence,
+                        caps,
+                        view.spare));
     }
 
     private static void advanceSequence(View view) {
