--- a/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
@@ -146,7 +146,7 @@
         updateCapsIfCongested(nowNanos, actions);
         liftCaps(view);
         meetNeed(view, nowNanos, actions);
-        serveUnmet(nowNanos, actions);
+        serveUnmet(view, nowNanos, actions);
         actions.add(answer(view, report.number()));
         return actions;
     }
@@ -462,6 +462,10 @@
             return;
         }
         unmetViews.add(view);
+        recallForUnmet(view, actions);
+    }
+
+    private void recallForUnmet(View reporter, List<LedgerAction> actions) {
         int missing = -returning;
         for (View unmet : unmetViews) {
             missing += Math.max(0, unmet.needed() - unmet.holding);
@@ -473,7 +477,7 @@
             }
             Hold hold = donor.idleHold();
             grant(donor, hold, hold.granted - 1);
-            if (donor != view) {
+            if (donor != reporter) {
                 sendIfChanged(donor, actions);
             }
             missing--;
@@ -493,7 +497,7 @@
         return best;
     }
 
-    private void serveUnmet(long nowNanos, List<LedgerAction> actions) {
+    private void serveUnmet(View reporter, long nowNanos, List<LedgerAction> actions) {
         if (unmetViews.isEmpty() || nowNanos - leaseFromNanos < 0) {
             return;
         }
@@ -611,6 +615,8 @@
         List<SlotLease> leases = new ArrayList<>();
         for (Hold hold : view.holds.values()) {
             if (hold.changedSequence > view.confirmed) {
+                // The daemon may return the slot and then apply this message, so the bound must outlast it too.
+                hold.changedSequence = view.sequence;
                 leases.add(new SlotLease(hold.server.id, hold.granted));
             }
         }
