Confirm every recall at once

Cause: a slot returned by a report that crossed its recall stayed counted as on its way back until the next regular report, so no other was recalled.

--- a/coordination/src/main/java/org/heatherreach/coordination/slot/LeasedSlotPool.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/LeasedSlotPool.java
@@ -283,7 +283,11 @@
         if (!sender.equals(owner)) {
             return actions;
         }
-        applyLeases(recall.leases(), recall.sequence());
+        if (recall.sequence() > appliedSequence) {
+            applyLeases(recall.leases(), recall.sequence());
+            // The owner counts on the return even if a report with it has crossed the recall.
+            reportWanted = true;
+        }
         report(nowNanos, actions);
         return actions;
     }
