--- a/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
@@ -143,7 +143,7 @@
         view.sequence = Math.max(view.sequence, view.confirmed);
         takeDemand(view, report);
         takeHoldings(view, report);
-        updateCapsIfCongested(nowNanos, actions);
+        updateCapsIfLimitsChange(nowNanos, actions);
         liftCaps(view);
         meetNeed(view, nowNanos, actions);
         serveUnmet(view, nowNanos, actions);
@@ -287,16 +287,16 @@
         return new RankShares(totalSlots, needed, active, rankLimits);
     }
 
-    private void updateCapsIfCongested(long nowNanos, List<LedgerAction> actions) {
+    private void updateCapsIfLimitsChange(long nowNanos, List<LedgerAction> actions) {
         if (nowNanos - lastCapsNanos < MIN_CAP_GAP_NANOS) {
             return;
         }
         RankShares shares = shares();
-        boolean newlyLimited = false;
+        boolean changed = false;
         for (Rank rank : RANKS) {
-            newlyLimited |= shares.isLimited(rank) && !limited[rank.ordinal()];
+            changed |= shares.isLimited(rank) != limited[rank.ordinal()];
         }
-        if (newlyLimited) {
+        if (changed) {
             updateCaps(nowNanos);
             for (View view : views.values()) {
                 sendIfChanged(view, actions);
