--- a/coordination/src/main/java/org/heatherreach/coordination/slot/LeasedSlotPool.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/LeasedSlotPool.java
@@ -40,7 +40,7 @@
     public static final long REPORT_NANOS = 250_000_000L;
 
     /** The shortest time between two reports, so that a burst of events costs one report. */
-    private static final long MIN_REPORT_GAP_NANOS = 2_000_000L;
+    private static final long MIN_REPORT_GAP_NANOS = 500_000L;
 
     /** A daemon without leases waits this long for its first grant before it uses its local share. */
     private static final long FIRST_GRANT_NANOS = 500_000_000L;
