Require several failing servers before an observer counts as faulty

Cause: a daemon with few requests that met one faulty server twice had a failing ratio above the limit. Change: the ratio covers about 20 entries of reports, and at least three distinct servers must fail. A trace shows that the usual failure ratio rises to 2 % because it learns from the faulty server.

--- a/coordination/src/main/java/org/heatherreach/coordination/health/HealthJudge.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/HealthJudge.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -62,7 +63,7 @@
     private static final int MAX_PENDING_REPORTS = 8;
 
     /** The evidence of one observer for one server counts as failing above this log likelihood ratio. */
-    private static final double FAILING_STEP = 0.5;
+    private static final double FAILING_STEP = 2;
 
     private final ServiceId service;
     private final int part;
@@ -90,7 +91,7 @@
         records.keySet().retainAll(next);
         for (ServerId server : next) {
             if (!records.containsKey(server)) {
-                ServerRecord added = new ServerRecord(server);
+                ServerRecord added = new ServerRecord(server, freeIndex());
                 added.growTo(zones.size() + 1);
                 if (hasServerList) {
                     added.grantGrace(nowNanos + GRACE_NANOS);
@@ -274,8 +275,7 @@
     }
 
     private void weighObserver(ObserverRecord observer, HealthReport report, long nowNanos) {
-        int failing = 0;
-        int servers = 0;
+        observer.beginReport(zoneScope(report.zone()), report.evidence().size(), nowNanos);
         double sum = 0;
         for (ServerEvidence evidence : report.evidence()) {
             ServerRecord known = records.get(evidence.server());
@@ -283,13 +283,10 @@
                 continue;
             }
             double step = reference.weighFailures(evidence) + reference.weighLatencies(evidence);
-            servers++;
             sum += step;
-            if (step > FAILING_STEP) {
-                failing++;
-            }
+            observer.noteServer(known.index(), step > FAILING_STEP);
         }
-        observer.note(zoneScope(report.zone()), servers, failing, sum, nowNanos);
+        observer.endReport(sum);
     }
 
     private void weighServers(HealthReport report, long nowNanos) {
@@ -305,6 +302,12 @@
         }
     }
 
+    private int freeIndex() {
+        BitSet used = new BitSet();
+        records.values().forEach(known -> used.set(known.index()));
+        return used.nextClearBit(0);
+    }
+
     private Map<Integer, double[]> ratiosByZone() {
         Map<Integer, List<Double>> collected = new HashMap<>();
         for (ObserverRecord observer : observers.values()) {
@@ -321,8 +324,8 @@
     }
 
     /** Compares with observers of the same zone if there are enough, because a zone as a whole may be cut off. */
-    private static boolean contradictsPeers(ObserverRecord observer, double[] zoneRatios, double[] allRatios) {
-        if (!observer.isSuspicious() || !observer.hasSeenSeveral()) {
+    private boolean contradictsPeers(ObserverRecord observer, double[] zoneRatios, double[] allRatios) {
+        if (!observer.isSuspicious() || !observer.hasSeenSeveral() || !observer.seesManyFailing(records.size())) {
             return false;
         }
         double[] ratios = zoneRatios != null && zoneRatios.length >= 3 ? zoneRatios : allRatios;
--- a/coordination/src/main/java/org/heatherreach/coordination/health/ObserverRecord.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/ObserverRecord.java
@@ -1,11 +1,19 @@
 package org.heatherreach.coordination.health;
 
+import java.util.BitSet;
+
 /**
  * How the evidence of one daemon compares with what is usual, over all servers that it uses.
  * Confined to one duty thread.
  */
 final class ObserverRecord {
-    private static final double RECENT_DECAY = 0.8;
+    /** The ratio covers about this many entries of reports, so that it does not depend on the rate of requests. */
+    private static final double MEMORY_ENTRIES = 20;
+    /** Failing servers are remembered for one to two periods of this many reports, which are 3 s. */
+    private static final int PERIOD_REPORTS = 12;
+    /** A daemon that meets one failing server repeatedly is not faulty; it takes this many servers. */
+    private static final int MIN_FAILING_SERVERS = 3;
+
     /** From this score on the evidence is set aside; a faulty observer passes it in its first one or two reports. */
     private static final double SUSPICIOUS_SCORE = 6;
 
@@ -17,15 +25,36 @@
     private double score;
     private double seen;
     private double seenFailing;
+    private BitSet failing = new BitSet();
+    private BitSet failingBefore = new BitSet();
+    private int reports;
     private boolean outlier;
     private long lastReportNanos;
 
-    void note(int newZone, int servers, int serversFailing, double step, long nowNanos) {
+    void beginReport(int newZone, int servers, long nowNanos) {
         zone = newZone;
-        seen = seen * RECENT_DECAY + servers;
-        seenFailing = seenFailing * RECENT_DECAY + serversFailing;
-        score = Math.max(0, Math.min(MAX_SCORE, score + Math.min(MAX_STEP, step)));
         lastReportNanos = nowNanos;
+        double kept = Math.max(0, 1 - servers / MEMORY_ENTRIES);
+        seen *= kept;
+        seenFailing *= kept;
+        if (++reports % PERIOD_REPORTS == 0) {
+            BitSet oldest = failingBefore;
+            failingBefore = failing;
+            oldest.clear();
+            failing = oldest;
+        }
+    }
+
+    void noteServer(int serverIndex, boolean isFailing) {
+        seen++;
+        if (isFailing) {
+            seenFailing++;
+            failing.set(serverIndex);
+        }
+    }
+
+    void endReport(double step) {
+        score = Math.max(0, Math.min(MAX_SCORE, score + Math.min(MAX_STEP, step)));
     }
 
     int zone() {
@@ -36,8 +65,15 @@
         return seen == 0 ? 0 : seenFailing / seen;
     }
 
+    /** Returns whether the daemon has seen so many servers fail that the cause may be its own. */
+    boolean seesManyFailing(int servers) {
+        BitSet all = (BitSet) failing.clone();
+        all.or(failingBefore);
+        return all.cardinality() >= Math.min(MIN_FAILING_SERVERS, Math.max(2, servers));
+    }
+
     boolean hasSeenSeveral() {
-        return seen >= 3;
+        return seen >= MIN_FAILING_SERVERS;
     }
 
     boolean isSuspicious() {
--- a/coordination/src/main/java/org/heatherreach/coordination/health/ServerRecord.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/ServerRecord.java
@@ -19,6 +19,9 @@
     private static final double MAX_STEP = HealthJudge.SCORE_LIMIT / 3;
 
     private final ServerId server;
+    /** A small number that no other server of the part has. */
+    private final int index;
+
     private final double[] recentLatency = new double[LatencyBuckets.COUNT];
     private double recentRequests;
     private double recentFailures;
@@ -36,7 +39,8 @@
     private boolean probeFails;
     private long probeDeadlineNanos;
 
-    ServerRecord(ServerId server) {
+    ServerRecord(ServerId server, int index) {
+        this.index = index;
         this.server = server;
     }
 
@@ -44,6 +48,10 @@
         return server;
     }
 
+    int index() {
+        return index;
+    }
+
     void growTo(int scopes) {
         int before = ejections.length;
         if (before < scopes) {
