Keep suspected servers out of the history

Cause: the usual failure ratio learned from the faulty server and rose to 2 %. Change: servers with a score above 1 are left out of the history; its prior is 1 in 300.

--- a/coordination/src/main/java/org/heatherreach/coordination/health/Reference.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/Reference.java
@@ -18,10 +18,10 @@
     private static final double MIN_FAULTY_FAILURE_RATIO = 0.2;
     /** Servers count as usual up to this multiple of the pooled failure ratio. */
     private static final double FAILURE_MARGIN = 1.5;
-    /** Without history one request in a hundred is taken to fail. */
-    private static final double PRIOR_FAILURES = 2;
+    /** Without history one request in 300 is taken to fail. */
+    private static final double PRIOR_FAILURES = 1;
 
-    private static final double PRIOR_REQUESTS = 200;
+    private static final double PRIOR_REQUESTS = 300;
     /** A latency fault is taken as a slow-down by four or by eight, which are two or three buckets. */
     private static final int[] SHIFTS = {2, 3};
 
@@ -31,8 +31,8 @@
     private static final double MIN_LATENCY_WEIGHT = -2;
     private static final double SMOOTHING = 4;
     private static final double HISTORY_DECAY = 0.998;
-    /** A server with a higher score is not added to the history. */
-    private static final double MAX_HISTORY_SCORE = 6;
+    /** A server with a higher score is not added to the history, which else learns from the fault to be found. */
+    private static final double MAX_HISTORY_SCORE = 1;
 
     private final double[] history = new double[LatencyBuckets.COUNT];
     private final double[] latencyWeights = new double[LatencyBuckets.COUNT];
