--- a/coordination/src/test/java/org/heatherreach/coordination/once/ExecutionRecordsTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/once/ExecutionRecordsTest.java
@@ -92,6 +92,20 @@
                 .containsExactly(new OnceAction.Dispatch(again.attempt(), RETRY));
     }
 
+    /** Guards against a copy of a request that arrives late and runs after another daemon said "not run". */
+    @Example
+    void keyBarredForAnotherDaemonNeverBegins() {
+        OutcomeQuery query = new OutcomeQuery(key(1), true);
+        assertThat(records.query(query, 0).kind()).isEqualTo(OutcomeAnswer.Kind.BARRED);
+        assertThat(records.begin(key(1), 7, REQUEST, 1))
+                .containsExactly(new OnceAction.Refuse(REQUEST, RefusalReason.KEY_BARRED));
+        KeyAttempt attempt = prepared(key(2));
+        records.refuse(attempt, RefusalReason.CONNECT_FAILED, 1);
+        assertThat(records.query(new OutcomeQuery(key(2), true), 2).kind()).isEqualTo(OutcomeAnswer.Kind.BARRED);
+        assertThat(records.begin(key(2), 7, RETRY, 3))
+                .containsExactly(new OnceAction.Refuse(RETRY, RefusalReason.KEY_BARRED));
+    }
+
     /** Guards against records that are evicted for room, and against a refusal that is not counted. */
     @Example
     void fullRecordsRefuse() {
