--- a/daemon/src/main/java/org/heatherreach/daemon/AddressParser.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/AddressParser.java
@@ -21,6 +21,10 @@
 final class AddressParser {
     /** The form of an address. */
     static final String ADDRESS_FORM = "IP:PORT, with IPv6 numbers in brackets";
+    /** The form of an address that others connect to. */
+    static final String PEER_FORM = "IP:PORT with a port other than 0";
+    /** The form of a list of addresses. */
+    static final String ADDRESS_LIST_FORM = "one or more IP:PORT, separated by commas";
     /** The form of a list of addresses with names. */
     static final String LIST_FORM = "NAME@IP:PORT/ZONE, separated by commas";
 
@@ -50,6 +54,24 @@
         }
     }
 
+    static Either<String, InetSocketAddress> fixedAddress(String text) {
+        return address(text)
+                .flatMap(address ->
+                        address.getPort() == 0 ? Either.left("the port is 0") : Either.right(address));
+    }
+
+    static Either<String, List<InetSocketAddress>> addresses(String text) {
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        for (String part : text.split(",", -1)) {
+            Either<String, InetSocketAddress> address = fixedAddress(part.strip());
+            if (address.isLeft()) {
+                return Either.left(address.getLeft());
+            }
+            addresses.add(address.get());
+        }
+        return Either.right(addresses);
+    }
+
     static Either<String, List<BackendServer>> servers(String text) {
         return entries(text)
                 .map(entries -> entries.stream()
--- a/daemon/src/main/java/org/heatherreach/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/DaemonMain.java
@@ -2,15 +2,13 @@
 
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import io.vavr.control.Either;
-import io.vavr.control.Option;
-import org.heatherreach.transport.http.ExchangeObserver;
+import org.heatherreach.daemon.fleet.FleetDaemon;
 
 /** Entry point of {@code heatherreachd}. Confined to the main thread. */
 public final class DaemonMain {
@@ -65,10 +63,9 @@
 
     private static int serve(DaemonSettings settings) {
         Logs.configure(settings.logFormat(), settings.logLevel());
-        HttpDaemon daemon;
+        Runnable shutDown;
         try {
-            daemon = new HttpDaemon(
-                    settings, Option.none(), ExchangeObserver.NONE, (service, fingerprint) -> false, Map.of());
+            shutDown = start(settings);
         } catch (RuntimeException e) {
             System.err.println("heatherreachd: cannot start: " + e.getMessage());
             return EXIT_FAILURE;
@@ -77,7 +74,7 @@
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
                         () -> {
-                            daemon.shutDown();
+                            shutDown.run();
                             Runtime.getRuntime().halt(0);
                         },
                         "shutdown"));
@@ -88,4 +85,11 @@
         }
         return 0;
     }
+
+    private static Runnable start(DaemonSettings settings) {
+        if (settings.fleet().isEmpty()) {
+            return new HttpDaemon(settings, StandaloneParts.of(settings))::shutDown;
+        }
+        return new FleetDaemon(settings, settings.fleet().get())::shutDown;
+    }
 }
--- a/daemon/src/main/java/org/heatherreach/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/DaemonSettings.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Objects;
 
+import io.vavr.control.Option;
 import org.heatherreach.state.id.DaemonId;
 import org.heatherreach.state.id.RegionId;
 import org.heatherreach.state.id.ServiceId;
@@ -32,6 +33,7 @@
  * @param logLevel the least severe level that is logged
  * @param services the services by id
  * @param routes the services by path prefix
+ * @param fleet the peers and the platform; without them the daemon works by its settings alone
  */
 public record DaemonSettings(
         DaemonId daemon,
@@ -49,7 +51,8 @@
         LogFormat logFormat,
         LogLevel logLevel,
         Map<ServiceId, ServiceSettings> services,
-        Map<String, ServiceId> routes) {
+        Map<String, ServiceId> routes,
+        Option<FleetSettings> fleet) {
     /** Creates settings. */
     public DaemonSettings {
         Objects.requireNonNull(daemon, "daemon");
@@ -60,6 +63,7 @@
         Objects.requireNonNull(limits, "limits");
         Objects.requireNonNull(logFormat, "logFormat");
         Objects.requireNonNull(logLevel, "logLevel");
+        Objects.requireNonNull(fleet, "fleet");
         addresses = List.copyOf(addresses);
         services = Map.copyOf(services);
         routes = Map.copyOf(routes);
--- a/daemon/src/main/java/org/heatherreach/daemon/SettingsFile.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/SettingsFile.java
@@ -18,10 +18,12 @@
 import java.util.regex.Pattern;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import org.apache.commons.configuration2.INIConfiguration;
 import org.apache.commons.configuration2.SubnodeConfiguration;
 import org.apache.commons.configuration2.ex.ConfigurationException;
 import org.apache.commons.configuration2.tree.ImmutableNode;
+import org.heatherreach.coordination.member.MemberAddress;
 import org.heatherreach.state.id.DaemonId;
 import org.heatherreach.state.id.RegionId;
 import org.heatherreach.state.id.ServiceId;
@@ -110,6 +112,7 @@
 
         Map<ServiceId, ServiceSettings> services = readServices();
         Map<String, ServiceId> routes = readRoutes(services);
+        Option<FleetSettings> fleet = readFleet(address);
         rejectUnread();
         return new DaemonSettings(
                 id,
@@ -127,7 +130,40 @@
                 format,
                 level,
                 services,
-                routes);
+                routes,
+                fleet);
+    }
+
+    private Option<FleetSettings> readFleet(InetSocketAddress callerAddress) {
+        boolean present = sections.containsKey("peer");
+        SectionReader peer = section("peer");
+        SectionReader store = section("store");
+        SectionReader vms = section("vms");
+        if (!present) {
+            return Option.none();
+        }
+        InetSocketAddress peerAddress =
+                peer.require("address", new InetSocketAddress(1), AddressParser.PEER_FORM, AddressParser::fixedAddress);
+        var seeds = peer.read("seeds", List.of(), AddressParser.ADDRESS_LIST_FORM, AddressParser::addresses);
+        var endpoints = store.require(
+                "endpoints", List.of(), AddressParser.ADDRESS_LIST_FORM, AddressParser::addresses);
+        Option<InetSocketAddress> vmList = vms.read(
+                "address",
+                Option.none(),
+                AddressParser.PEER_FORM,
+                text -> AddressParser.fixedAddress(text).map(Option::some));
+        if (callerAddress.getPort() == 0 && sections.containsKey("listen")) {
+            section("listen").add("address", "the port is 0", "a fixed port, because peers tell callers to use it");
+        }
+        return Option.of(new FleetSettings(
+                memberAddress(peerAddress),
+                seeds.stream().map(SettingsFile::memberAddress).toList(),
+                endpoints,
+                vmList));
+    }
+
+    private static MemberAddress memberAddress(InetSocketAddress address) {
+        return new MemberAddress(address.getAddress().getHostAddress(), address.getPort());
     }
 
     private static ProxyLimits readLimits(SectionReader section) {
--- /dev/null
+++ b/daemon/src/main/java/org/heatherreach/daemon/StandaloneParts.java
@@ -0,0 +1,58 @@
+package org.heatherreach.daemon;
+
+import java.util.Map;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.concurrent.ThreadLocalRandom;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.vavr.control.Option;
+import org.heatherreach.state.id.IncarnationId;
+import org.heatherreach.transport.http.DaemonAddress;
+import org.heatherreach.transport.http.ExchangeObserver;
+import org.heatherreach.transport.http.LocalScheduler;
+import org.heatherreach.transport.http.NaiveScheduler;
+import org.heatherreach.transport.http.ProxyMode;
+import org.heatherreach.transport.http.RequestScheduler;
+import org.heatherreach.transport.http.ServingGate;
+
+/** Makes the parts of a daemon that works by its settings alone, without peers. Stateless. */
+final class StandaloneParts {
+    private StandaloneParts() {}
+
+    static DaemonParts of(DaemonSettings settings) {
+        ServingGate gate = new ServingGate();
+        SettingsCatalog catalog = new SettingsCatalog(settings);
+        RequestScheduler scheduler = scheduler(settings, catalog);
+        settings.services().forEach((service, entry) -> scheduler.changeServers(service, entry.servers()));
+        String host = settings.listen().getAddress().getHostAddress();
+        return new DaemonParts(
+                new PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
+                gate,
+                new IncarnationId(ThreadLocalRandom.current().nextLong()),
+                catalog,
+                scheduler,
+                port -> new SettingsAddressBook(
+                        settings.addresses(),
+                        new DaemonAddress(settings.daemon(), host, port, settings.zone()),
+                        gate),
+                Option.none(),
+                ExchangeObserver.NONE,
+                (service, fingerprint) -> false,
+                Map.of());
+    }
+
+    static RequestScheduler scheduler(DaemonSettings settings, SettingsCatalog catalog) {
+        long seed = seedOf(settings);
+        return settings.mode() == ProxyMode.NAIVE
+                ? new NaiveScheduler(new Random(seed))
+                : new LocalScheduler(catalog, new SplittableRandom(seed), settings.scheduleRing());
+    }
+
+    static long seedOf(DaemonSettings settings) {
+        return settings.seed() != 0
+                ? settings.seed()
+                : ThreadLocalRandom.current().nextLong();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/FleetDaemon.java
@@ -0,0 +1,196 @@
+package org.heatherreach.daemon.fleet;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.vavr.control.Option;
+import org.heatherreach.coordination.member.Member;
+import org.heatherreach.coordination.member.MemberList;
+import org.heatherreach.coordination.member.MemberSettings;
+import org.heatherreach.coordination.member.MemberState;
+import org.heatherreach.coordination.owner.OwnerMap;
+import org.heatherreach.coordination.table.TableSpread;
+import org.heatherreach.daemon.DaemonParts;
+import org.heatherreach.daemon.DaemonSettings;
+import org.heatherreach.daemon.FleetSettings;
+import org.heatherreach.daemon.HttpDaemon;
+import org.heatherreach.daemon.SettingsCatalog;
+import org.heatherreach.state.id.IncarnationId;
+import org.heatherreach.state.id.ServiceId;
+import org.heatherreach.transport.http.ExchangeObserver;
+import org.heatherreach.transport.http.LocalScheduler;
+import org.heatherreach.transport.http.RequestScheduler;
+import org.heatherreach.transport.http.ServingGate;
+import org.heatherreach.transport.kv.HttpKeyValueStore;
+import org.heatherreach.transport.kv.TableStore;
+import org.heatherreach.transport.peer.PacketSocket;
+import org.heatherreach.transport.peer.PeerCounters;
+import org.heatherreach.transport.peer.PeerLinks;
+import org.jboss.logging.Logger;
+import reactor.core.publisher.Mono;
+
+/**
+ * One daemon of a fleet: the request path and the duties that decide together with its peers.
+ *
+ * <p>Invariant: {@link #shutDown} announces the departure before the request path drains, so that no address answer
+ * names this daemon while it drains.
+ *
+ * <p>Thread safety: {@link #shutDown} is called once, by any thread.
+ */
+public final class FleetDaemon {
+    private static final Logger LOG = Logger.getLogger(FleetDaemon.class);
+    private static final int PEER_THREADS = 1;
+    private static final long ANNOUNCE_SECONDS = 2;
+    private static final Duration STORE_CALL_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration STORE_IDLE_TIMEOUT = Duration.ofSeconds(10);
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(PEER_THREADS, NioIoHandler.newFactory());
+    private final ServerDirectory servers = new ServerDirectory();
+    private final HttpKeyValueStore store;
+    private final PeerLinks links;
+    private final PacketSocket socket;
+    private final MemberDuty memberDuty;
+    private final TableDuty tableDuty;
+    private final Option<VmList> vmList;
+    private final HttpDaemon http;
+
+    /**
+     * Starts a daemon.
+     *
+     * @throws RuntimeException if an address can't be bound
+     */
+    public FleetDaemon(DaemonSettings settings, FleetSettings fleet) {
+        Objects.requireNonNull(settings, "settings");
+        Objects.requireNonNull(fleet, "fleet");
+        long seed = settings.seed() != 0
+                ? settings.seed()
+                : ThreadLocalRandom.current().nextLong();
+        SplittableRandom random = new SplittableRandom(seed);
+        long nowNanos = System.nanoTime();
+        Member self = selfOf(settings, fleet);
+        PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        ServingGate gate = new ServingGate();
+        PeerCounters counters = new PeerCounters(registry);
+        links = new PeerLinks(group, self.incarnation(), counters);
+        socket = new PacketSocket(group, counters);
+        MemberDirectory directory = new MemberDirectory(self);
+        store = new HttpKeyValueStore(
+                fleet.storeEndpoints(), STORE_CALL_TIMEOUT, STORE_IDLE_TIMEOUT, new Random(random.nextLong()));
+        memberDuty = new MemberDuty(
+                new MemberList(MemberSettings.standard(), self, fleet.seeds(), random.split(), nowNanos),
+                directory,
+                socket,
+                registry);
+        tableDuty = new TableDuty(
+                new TableSpread(self, random.split(), nowNanos),
+                new OwnerMap(),
+                links,
+                new TableReader(new TableStore(store, new Random(random.nextLong())), registry),
+                gate,
+                memberDuty::advertise,
+                registry);
+        TableCatalog catalog = new TableCatalog(new SettingsCatalog(settings));
+        tableDuty.addListener(catalog);
+        RequestScheduler scheduler = new LocalScheduler(catalog, random.split(), settings.scheduleRing());
+        servers.addListener(listed -> listed.forEach((service, list) -> scheduler.changeServers(
+                service,
+                list.stream()
+                        .filter(entry -> !entry.leaving())
+                        .map(ListedServer::server)
+                        .toList())));
+        directory.addListener(tableDuty);
+        memberDuty.addBeaconListener(tableDuty);
+        FrameRouter router = new FrameRouter(registry);
+        tableDuty.register(router);
+        vmList = fleet.vmList().map(address -> new VmList(address, servers, memberDuty::changeListed, registry));
+        FleetStatus status = new FleetStatus(directory, catalog, tableDuty, gate);
+        DaemonParts parts = new DaemonParts(
+                registry,
+                gate,
+                self.incarnation(),
+                catalog,
+                scheduler,
+                port -> new MemberAddressBook(directory, gate),
+                Option.none(),
+                ExchangeObserver.NONE,
+                (service, fingerprint) -> false,
+                Map.of("GET /heatherreach/status", (argument, body) -> Mono.fromSupplier(status::answer)));
+        links.bind(fleet.peerAddress().host(), fleet.peerAddress().port(), router);
+        socket.bind(fleet.peerAddress().host(), fleet.peerAddress().port(), memberDuty);
+        servers.publish(serversOf(settings));
+        vmList.forEach(VmList::start);
+        tableDuty.start();
+        tableDuty.changeMember(self, directory.view());
+        memberDuty.start();
+        http = new HttpDaemon(settings, parts);
+        LOG.infof(
+                "Incarnation %s of daemon %s listens for peers on %s",
+                self.incarnation(), self.daemon(), fleet.peerAddress());
+    }
+
+    /** Announces the departure, drains the request path and ends. */
+    public void shutDown() {
+        await(memberDuty.announceLeaving());
+        http.shutDown();
+        await(memberDuty.announceLeft());
+        vmList.forEach(VmList::close);
+        tableDuty.close();
+        memberDuty.close();
+        links.close();
+        socket.close();
+        store.close();
+        group.shutdownGracefully(0, ANNOUNCE_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private static Member selfOf(DaemonSettings settings, FleetSettings fleet) {
+        long incarnation = 0;
+        while (incarnation == 0) {
+            incarnation = ThreadLocalRandom.current().nextLong();
+        }
+        return new Member(
+                settings.daemon(),
+                new IncarnationId(incarnation),
+                0,
+                MemberState.ALIVE,
+                settings.zone(),
+                settings.region(),
+                fleet.peerAddress(),
+                settings.listen().getPort(),
+                0);
+    }
+
+    private static Map<ServiceId, List<ListedServer>> serversOf(DaemonSettings settings) {
+        Map<ServiceId, List<ListedServer>> listed = new HashMap<>();
+        settings.services().forEach((service, entry) -> listed.put(
+                service,
+                entry.servers().stream()
+                        .map(server -> new ListedServer(server, false))
+                        .toList()));
+        return listed;
+    }
+
+    private static void await(CompletableFuture<Void> announcement) {
+        try {
+            announcement.get(ANNOUNCE_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.warnf("A departure could not be announced: %s", e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/TableDuty.java
@@ -0,0 +1,225 @@
+package org.heatherreach.daemon.fleet;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import org.heatherreach.coordination.member.Member;
+import org.heatherreach.coordination.member.MemberView;
+import org.heatherreach.coordination.member.TableBeacon;
+import org.heatherreach.coordination.owner.OwnerMap;
+import org.heatherreach.coordination.table.StoreStatus;
+import org.heatherreach.coordination.table.TableAction;
+import org.heatherreach.coordination.table.TableSpread;
+import org.heatherreach.protocol.peer.TableCodec;
+import org.heatherreach.protocol.peer.wire.Frame;
+import org.heatherreach.state.id.IncarnationId;
+import org.heatherreach.state.table.TableCsv;
+import org.heatherreach.transport.http.ServingGate;
+import org.heatherreach.transport.peer.PeerLinks;
+import org.heatherreach.transport.ring.DutyThread;
+import org.jboss.logging.Logger;
+
+/**
+ * The duty that owns the spread of the table: it reads the store if this daemon is a reader, exchanges versions with
+ * peers, and tells the other duties which table is in force.
+ *
+ * <p>Invariants: listeners see ascending versions; a content that can't be parsed never comes into force.
+ *
+ * <p>Thread safety: every method is safe for use by any thread.
+ */
+public final class TableDuty implements MemberListener, BeaconListener, AutoCloseable {
+    private static final Logger LOG = Logger.getLogger(TableDuty.class);
+    private static final int RING_CAPACITY = 4096;
+    private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    /** Advertised until a reader has seen the store; older than every age at which the store counts as current. */
+    private static final long UNCONFIRMED_AGE_NANOS = TimeUnit.DAYS.toNanos(1);
+
+    private final TableSpread spread;
+    private final OwnerMap owners;
+    private final PeerLinks links;
+    private final TableReader reader;
+    private final ServingGate gate;
+    private final BeaconSink beaconSink;
+    private final List<TableListener> listeners = new CopyOnWriteArrayList<>();
+    private final Counter adoptedTables;
+    private final Counter invalidTables;
+    private final DutyThread<Event> duty;
+    private volatile StoreStatus storeStatus = StoreStatus.UNKNOWN;
+
+    /** Takes what packets to peers tell about the table and the store. */
+    @FunctionalInterface
+    public interface BeaconSink {
+        /** Sets what later packets tell. */
+        void advertise(long tableVersion, long storeConfirmedNanos, boolean storeAway);
+    }
+
+    /** Something that the spread has to take. */
+    private interface Event {
+        List<TableAction> apply(long nowNanos);
+    }
+
+    /** Creates the duty; {@link #start} starts it. */
+    public TableDuty(
+            TableSpread spread,
+            OwnerMap owners,
+            PeerLinks links,
+            TableReader reader,
+            ServingGate gate,
+            BeaconSink beaconSink,
+            MeterRegistry registry) {
+        this.spread = Objects.requireNonNull(spread, "spread");
+        this.owners = Objects.requireNonNull(owners, "owners");
+        this.links = Objects.requireNonNull(links, "links");
+        this.reader = Objects.requireNonNull(reader, "reader");
+        this.gate = Objects.requireNonNull(gate, "gate");
+        this.beaconSink = Objects.requireNonNull(beaconSink, "beaconSink");
+        this.adoptedTables = registry.counter("heatherreach.table.adopted");
+        this.invalidTables = registry.counter("heatherreach.table.invalid");
+        this.duty = new DutyThread<>("table", RING_CAPACITY, this::handle, this::tick, TICK_NANOS);
+        registry.gauge("heatherreach.table.ring.refused", duty, DutyThread::refusedEvents);
+        registry.gauge("heatherreach.table.version", spread, TableSpread::version);
+    }
+
+    /** Adds a listener; called before the duty is started. */
+    public void addListener(TableListener listener) {
+        listeners.add(Objects.requireNonNull(listener, "listener"));
+    }
+
+    /** Registers the handlers of table messages. */
+    public void register(FrameRouter router) {
+        router.handle(Frame.BodyCase.TABLE_PUSH, (frame, reply) -> {
+            var push = TableCodec.decode(frame.getTablePush());
+            duty.offer(nowNanos -> spread.receivePush(new IncarnationId(frame.getSender()), push, nowNanos));
+        });
+        router.handle(Frame.BodyCase.TABLE_FETCH, (frame, reply) -> {
+            var fetch = TableCodec.decode(frame.getTableFetch());
+            duty.offer(nowNanos -> spread.receiveFetch(new IncarnationId(frame.getSender()), fetch, nowNanos));
+        });
+        router.handle(Frame.BodyCase.TABLE_ANSWER, (frame, reply) -> {
+            var answer = TableCodec.decode(frame.getTableAnswer());
+            duty.offer(nowNanos -> spread.receiveAnswer(new IncarnationId(frame.getSender()), answer, nowNanos));
+        });
+    }
+
+    /** Starts the duty. */
+    public void start() {
+        duty.start();
+    }
+
+    @Override
+    public void changeMember(Member member, MemberView view) {
+        duty.offer(nowNanos -> {
+            owners.change(member);
+            List<Member> readers = owners.regions().stream()
+                    .flatMap(region -> owners.readers(region).stream())
+                    .toList();
+            return spread.changeMembers(view, readers, nowNanos);
+        });
+    }
+
+    @Override
+    public void hear(Member from, TableBeacon beacon) {
+        duty.offer(nowNanos -> spread.hear(from, beacon, nowNanos));
+    }
+
+    /** Returns what this daemon knows of the configuration store. */
+    public StoreStatus storeStatus() {
+        return storeStatus;
+    }
+
+    /** Stops the duty and the watch on the store. */
+    @Override
+    public void close() {
+        reader.close();
+        duty.close();
+    }
+
+    private void handle(Event event) {
+        long nowNanos = System.nanoTime();
+        carryOut(event.apply(nowNanos), nowNanos);
+    }
+
+    private void tick(long nowNanos) {
+        carryOut(spread.tick(nowNanos), nowNanos);
+        StoreStatus status = spread.storeStatus(nowNanos);
+        if (status != storeStatus) {
+            LOG.infof("Store status changes from %s to %s", storeStatus, status);
+            storeStatus = status;
+        }
+        spread.storeConfirmedNanos()
+                .ifPresentOrElse(
+                        confirmedNanos ->
+                                beaconSink.advertise(spread.version(), confirmedNanos, spread.isStoreAway()),
+                        () -> beaconSink.advertise(spread.version(), nowNanos - UNCONFIRMED_AGE_NANOS, true));
+    }
+
+    private void carryOut(List<TableAction> actions, long nowNanos) {
+        for (TableAction action : actions) {
+            if (action instanceof TableAction.AdoptTable adopt) {
+                adopt(adopt);
+            } else if (action instanceof TableAction.SendPush send) {
+                send(send.to(), Frame.newBuilder().setTablePush(TableCodec.encode(send.push())));
+            } else if (action instanceof TableAction.SendFetch send) {
+                send(send.to(), Frame.newBuilder().setTableFetch(TableCodec.encode(send.fetch())));
+            } else if (action instanceof TableAction.SendAnswer send) {
+                send(send.to(), Frame.newBuilder().setTableAnswer(TableCodec.encode(send.answer())));
+            } else if (action instanceof TableAction.WatchStore) {
+                LOG.info("This daemon reads the table from the store");
+                reader.watch(spread.version(), storeSink());
+            } else if (action instanceof TableAction.EndWatch) {
+                LOG.info("This daemon no longer reads the table from the store");
+                reader.endWatch();
+            } else if (action instanceof TableAction.ReadStore) {
+                reader.readOnce(spread.version(), storeSink());
+            } else if (action instanceof TableAction.EnterIsolation isolation) {
+                LOG.warnf("Isolated (%s): new work is refused", isolation.cause());
+                gate.setIsolated(true);
+            } else if (action instanceof TableAction.LeaveIsolation) {
+                LOG.info("No longer isolated");
+                gate.setIsolated(false);
+            }
+        }
+    }
+
+    private void adopt(TableAction.AdoptTable adopt) {
+        TableCsv.read(adopt.content())
+                .peek(table -> {
+                    adoptedTables.increment();
+                    LOG.infof("Table version %d is in force", adopt.version());
+                    TableInForce inForce = new TableInForce(adopt.version(), table);
+                    listeners.forEach(listener -> listener.changeTable(inForce));
+                })
+                .peekLeft(problems -> {
+                    invalidTables.increment();
+                    LOG.errorf("Table version %d is not usable: %s", adopt.version(), problems.get(0));
+                });
+    }
+
+    private void send(Member to, Frame.Builder frame) {
+        links.send(MemberDirectory.peerOf(to), frame);
+    }
+
+    private TableReader.Sink storeSink() {
+        return new TableReader.Sink() {
+            @Override
+            public void read(long version, byte[] content) {
+                duty.offer(nowNanos -> spread.readStore(version, content, nowNanos));
+            }
+
+            @Override
+            public void confirm() {
+                duty.offer(spread::confirmStore);
+            }
+
+            @Override
+            public void lose() {
+                duty.offer(spread::loseStore);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/TableReader.java
@@ -0,0 +1,140 @@
+package org.heatherreach.daemon.fleet;
+
+import java.util.Objects;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.heatherreach.protocol.kv.WatchEvent;
+import org.heatherreach.state.table.TableCsv;
+import org.heatherreach.transport.kv.KeyValueError;
+import org.heatherreach.transport.kv.TableSnapshot;
+import org.heatherreach.transport.kv.TableStore;
+import org.heatherreach.transport.kv.TableStoreError;
+import org.heatherreach.transport.kv.TableVersion;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.publisher.Mono;
+
+/**
+ * Reads the table from the store on behalf of the table duty.
+ *
+ * <p>Invariant: a watch starts behind the version that was read before, so that no change falls between them.
+ *
+ * <p>Thread safety: safe for use by any thread. The sink is called by threads of the store client.
+ */
+public final class TableReader implements AutoCloseable {
+    private final TableStore store;
+    private final Counter calls;
+    private final Counter failures;
+    private final Counter deletedHeads;
+    private final Disposable.Swap watch = Disposables.swap();
+
+    /** Takes what the store said. */
+    public interface Sink {
+        /** Takes a version of the table. */
+        void read(long version, byte[] content);
+
+        /** Takes that the store has no other version than the one that was known. */
+        void confirm();
+
+        /** Takes that the store did not answer as it should. */
+        void lose();
+    }
+
+    /** Creates a reader. */
+    public TableReader(TableStore store, MeterRegistry registry) {
+        this.store = Objects.requireNonNull(store, "store");
+        this.calls = registry.counter("heatherreach.store.calls");
+        this.failures = registry.counter("heatherreach.store.failures");
+        this.deletedHeads = registry.counter("heatherreach.store.head.deleted");
+    }
+
+    /** Reads the table and then watches it until {@link #endWatch}. */
+    public void watch(long knownVersion, Sink sink) {
+        calls.increment(2);
+        watch.update(store.read()
+                .doOnNext(result -> deliver(result, knownVersion, sink))
+                .flatMapMany(result -> store.watch(startRevision(result, knownVersion)))
+                .concatMap(event -> follow(event, sink))
+                .subscribe());
+    }
+
+    /** Ends the watch. */
+    public void endWatch() {
+        watch.update(Disposables.single());
+    }
+
+    /** Reads the head, and the table if its version is not the known one. */
+    public void readOnce(long knownVersion, Sink sink) {
+        calls.increment();
+        store.readHead()
+                .flatMap(head -> load(head, knownVersion))
+                .subscribe(result -> deliver(result, knownVersion, sink));
+    }
+
+    /** Ends the watch for good. */
+    @Override
+    public void close() {
+        watch.dispose();
+    }
+
+    private Mono<Either<TableStoreError, Option<TableSnapshot>>> load(
+            Either<TableStoreError, Option<TableVersion>> head, long knownVersion) {
+        if (head.isLeft()) {
+            return Mono.just(Either.left(head.getLeft()));
+        }
+        Option<TableVersion> version = head.get().filter(found -> found.version() > knownVersion);
+        if (version.isEmpty()) {
+            return Mono.just(Either.right(Option.none()));
+        }
+        calls.increment();
+        return store.read(version.get()).map(result -> result.map(Option::some));
+    }
+
+    private void deliver(Either<TableStoreError, Option<TableSnapshot>> result, long knownVersion, Sink sink) {
+        if (result.isLeft()) {
+            failures.increment();
+            sink.lose();
+            return;
+        }
+        Option<TableSnapshot> snapshot = result.get().filter(found -> found.version() > knownVersion);
+        if (snapshot.isEmpty()) {
+            sink.confirm();
+        } else {
+            sink.read(snapshot.get().version(), TableCsv.toBytes(snapshot.get().table()));
+        }
+    }
+
+    private static long startRevision(Either<TableStoreError, Option<TableSnapshot>> result, long knownVersion) {
+        long readVersion = result.map(snapshot -> snapshot.map(TableSnapshot::version).getOrElse(0L))
+                .getOrElse(0L);
+        return Math.max(knownVersion, readVersion) + 1;
+    }
+
+    private Mono<Void> follow(Either<KeyValueError, WatchEvent> event, Sink sink) {
+        if (event.isLeft()) {
+            failures.increment();
+            sink.lose();
+            return Mono.empty();
+        }
+        if (event.get() instanceof WatchEvent.Put put) {
+            calls.increment();
+            return store.read(put.entry())
+                    .doOnNext(result -> deliver(result.map(Option::some), 0, sink))
+                    .then();
+        }
+        if (event.get() instanceof WatchEvent.Compacted) {
+            calls.increment();
+            return store.read().doOnNext(result -> deliver(result, 0, sink)).then();
+        }
+        if (event.get() instanceof WatchEvent.Deleted) {
+            // The table in force never reverts, so a deleted head changes nothing.
+            deletedHeads.increment();
+            return Mono.empty();
+        }
+        sink.confirm();
+        return Mono.empty();
+    }
+}
