--- /dev/null
+++ b/protocol/src/main/java/org/heatherreach/protocol/peer/OnceCodec.java
@@ -0,0 +1,167 @@
+package org.heatherreach.protocol.peer;
+
+import java.util.Optional;
+
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+import org.heatherreach.coordination.once.ExecutionKey;
+import org.heatherreach.coordination.once.Intent;
+import org.heatherreach.coordination.once.IntentAck;
+import org.heatherreach.coordination.once.KeyAttempt;
+import org.heatherreach.coordination.once.KeyParseError;
+import org.heatherreach.coordination.once.OutcomeAnswer;
+import org.heatherreach.coordination.once.OutcomeCopy;
+import org.heatherreach.coordination.once.OutcomeQuery;
+import org.heatherreach.coordination.once.RecordedAnswer;
+
+/**
+ * Converts messages about execution keys to and from their wire form. Decoding fails with {@link MessageException}.
+ * Stateless and safe for use by any thread.
+ */
+public final class OnceCodec {
+    private static final int MIN_STATUS = 100;
+    private static final int MAX_STATUS = 599;
+
+    private OnceCodec() {}
+
+    /** Converts an intent to its wire form. */
+    public static org.heatherreach.protocol.peer.wire.Intent encode(Intent intent) {
+        return org.heatherreach.protocol.peer.wire.Intent.newBuilder()
+                .setKey(intent.attempt().toText())
+                .setFingerprint(intent.fingerprint())
+                .build();
+    }
+
+    /** Converts an intent from its wire form. */
+    public static Intent decode(org.heatherreach.protocol.peer.wire.Intent wire) {
+        return MessageDecoding.decode("Intent", () -> new Intent(attempt(wire.getKey()), wire.getFingerprint()));
+    }
+
+    /** Converts an acknowledgement to its wire form. */
+    public static org.heatherreach.protocol.peer.wire.IntentAck encode(IntentAck ack) {
+        return org.heatherreach.protocol.peer.wire.IntentAck.newBuilder()
+                .setKey(ack.attempt().toText())
+                .setAccepted(ack.accepted())
+                .build();
+    }
+
+    /** Converts an acknowledgement from its wire form. */
+    public static IntentAck decode(org.heatherreach.protocol.peer.wire.IntentAck wire) {
+        return MessageDecoding.decode("IntentAck", () -> new IntentAck(attempt(wire.getKey()), wire.getAccepted()));
+    }
+
+    /** Converts a copy of an outcome, or a withdrawal, to its wire form. */
+    public static org.heatherreach.protocol.peer.wire.OutcomeCopy encode(OutcomeCopy copy) {
+        return org.heatherreach.protocol.peer.wire.OutcomeCopy.newBuilder()
+                .setKey(copy.attempt().toText())
+                .setFingerprint(copy.fingerprint())
+                .setAnswer(encode(copy.answer()))
+                .build();
+    }
+
+    /** Converts a copy of an outcome, or a withdrawal, from its wire form. */
+    public static OutcomeCopy decode(org.heatherreach.protocol.peer.wire.OutcomeCopy wire) {
+        return MessageDecoding.decode("OutcomeCopy", () -> {
+            if (!wire.hasAnswer()) {
+                throw new IllegalArgumentException("no answer");
+            }
+            RecordedAnswer answer = answer(wire.getAnswer());
+            if (!answer.isWithdrawal()) {
+                checkStatus(answer);
+            }
+            return new OutcomeCopy(attempt(wire.getKey()), wire.getFingerprint(), answer);
+        });
+    }
+
+    /** Converts a query to its wire form. */
+    public static org.heatherreach.protocol.peer.wire.OutcomeQuery encode(OutcomeQuery query) {
+        return org.heatherreach.protocol.peer.wire.OutcomeQuery.newBuilder()
+                .setKey(query.key().toText())
+                .setBar(query.bar())
+                .build();
+    }
+
+    /** Converts a query from its wire form. */
+    public static OutcomeQuery decode(org.heatherreach.protocol.peer.wire.OutcomeQuery wire) {
+        return MessageDecoding.decode("OutcomeQuery", () -> new OutcomeQuery(key(wire.getKey()), wire.getBar()));
+    }
+
+    /** Converts an answer to a query to its wire form. */
+    public static org.heatherreach.protocol.peer.wire.OutcomeAnswer encode(OutcomeAnswer answer) {
+        var wire = org.heatherreach.protocol.peer.wire.OutcomeAnswer.newBuilder()
+                .setKey(answer.key().toText())
+                .setKind(encode(answer.kind()))
+                .setFingerprint(answer.fingerprint());
+        answer.answer().ifPresent(recorded -> wire.setAnswer(encode(recorded)));
+        return wire.build();
+    }
+
+    /** Converts an answer to a query from its wire form. */
+    public static OutcomeAnswer decode(org.heatherreach.protocol.peer.wire.OutcomeAnswer wire) {
+        return MessageDecoding.decode("OutcomeAnswer", () -> {
+            OutcomeAnswer.Kind kind = decode(wire.getKind());
+            if (wire.hasAnswer() != (kind == OutcomeAnswer.Kind.RECORDED)) {
+                throw new IllegalArgumentException("an answer is held exactly by the kind RECORDED");
+            }
+            Optional<RecordedAnswer> answer =
+                    wire.hasAnswer() ? Optional.of(checkStatus(answer(wire.getAnswer()))) : Optional.empty();
+            return new OutcomeAnswer(key(wire.getKey()), kind, wire.getFingerprint(), answer);
+        });
+    }
+
+    private static org.heatherreach.protocol.peer.wire.RecordedAnswer encode(RecordedAnswer answer) {
+        return org.heatherreach.protocol.peer.wire.RecordedAnswer.newBuilder()
+                .setStatus(answer.status())
+                .setContentType(answer.contentType())
+                .setBody(ByteString.copyFrom(answer.body()))
+                .setComplete(answer.complete())
+                .build();
+    }
+
+    private static RecordedAnswer answer(org.heatherreach.protocol.peer.wire.RecordedAnswer wire) {
+        return new RecordedAnswer(
+                wire.getStatus(), wire.getContentType(), wire.getBody().toByteArray(), wire.getComplete());
+    }
+
+    private static RecordedAnswer checkStatus(RecordedAnswer answer) {
+        if (answer.status() < MIN_STATUS || answer.status() > MAX_STATUS) {
+            throw new IllegalArgumentException("status must lie in 100 to 599");
+        }
+        return answer;
+    }
+
+    private static org.heatherreach.protocol.peer.wire.OutcomeAnswer.Kind encode(OutcomeAnswer.Kind kind) {
+        return switch (kind) {
+            case UNKNOWN_KEY -> org.heatherreach.protocol.peer.wire.OutcomeAnswer.Kind.KIND_UNKNOWN_KEY;
+            case BARRED -> org.heatherreach.protocol.peer.wire.OutcomeAnswer.Kind.KIND_BARRED;
+            case INTENT -> org.heatherreach.protocol.peer.wire.OutcomeAnswer.Kind.KIND_INTENT;
+            case RECORDED -> org.heatherreach.protocol.peer.wire.OutcomeAnswer.Kind.KIND_RECORDED;
+            case RUNNING -> org.heatherreach.protocol.peer.wire.OutcomeAnswer.Kind.KIND_RUNNING;
+            case EXPIRED -> org.heatherreach.protocol.peer.wire.OutcomeAnswer.Kind.KIND_EXPIRED;
+        };
+    }
+
+    private static OutcomeAnswer.Kind decode(org.heatherreach.protocol.peer.wire.OutcomeAnswer.Kind kind) {
+        return switch (kind) {
+            case KIND_UNKNOWN_KEY -> OutcomeAnswer.Kind.UNKNOWN_KEY;
+            case KIND_BARRED -> OutcomeAnswer.Kind.BARRED;
+            case KIND_INTENT -> OutcomeAnswer.Kind.INTENT;
+            case KIND_RECORDED -> OutcomeAnswer.Kind.RECORDED;
+            case KIND_RUNNING -> OutcomeAnswer.Kind.RUNNING;
+            case KIND_EXPIRED -> OutcomeAnswer.Kind.EXPIRED;
+            case KIND_UNSPECIFIED, UNRECOGNIZED -> throw new IllegalArgumentException("unknown kind");
+        };
+    }
+
+    private static KeyAttempt attempt(String text) {
+        return accept(KeyAttempt.parse(text));
+    }
+
+    private static ExecutionKey key(String text) {
+        return accept(ExecutionKey.parse(text));
+    }
+
+    private static <T> T accept(Either<KeyParseError, T> parsed) {
+        return parsed.getOrElseThrow(error -> new IllegalArgumentException("malformed key: " + error));
+    }
+}
