--- a/bench/src/main/java/org/heatherreach/bench/trial/TrialFleet.java
+++ b/bench/src/main/java/org/heatherreach/bench/trial/TrialFleet.java
@@ -27,6 +27,7 @@
     private final List<ProgramProcess> processes = new ArrayList<>();
     private final Map<String, List<Backend>> backendsByService = new LinkedHashMap<>();
     private final List<Daemon> daemons = new ArrayList<>();
+    private int storePort;
 
     /**
      * A backend server of the trial.
@@ -69,9 +70,10 @@
      * @throws IOException if it does not get ready
      */
     public ProgramProcess startStore() throws IOException {
-        int port = freePort();
-        ProgramProcess store = start("store", StandInMain.class, List.of("store", "--port", Integer.toString(port)));
-        store.awaitReady(() -> accepts(port), READY_MILLIS);
+        storePort = freePort();
+        ProgramProcess store =
+                start("store", StandInMain.class, List.of("store", "--port", Integer.toString(storePort)));
+        store.awaitReady(() -> accepts(storePort), READY_MILLIS);
         return store;
     }
 
@@ -115,14 +117,12 @@
      * @throws IOException if one does not get ready
      */
     public void startDaemons(int count, int slots) throws IOException {
-        List<Integer> ports = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            ports.add(freePort());
-        }
+        List<Integer> ports = freePorts(count);
+        List<Integer> peerPorts = freePorts(count);
         for (int i = 0; i < count; i++) {
             String name = "daemon-" + (i + 1);
             Path settings = directory.resolve(name + ".ini");
-            Files.writeString(settings, settingsOf(i, ports, slots));
+            Files.writeString(settings, settingsOf(i, ports.get(i), peerPorts, slots));
             ProgramProcess process = start(name, DaemonMain.class, List.of("--config", settings.toString()));
             daemons.add(new Daemon(name, "zone-" + (i % 3 + 1), ports.get(i), process));
         }
@@ -131,6 +131,11 @@
         }
     }
 
+    /** Returns the port of the key-value service. */
+    public int storePort() {
+        return storePort;
+    }
+
     /** Returns the daemons in the order in which they were started. */
     public List<Daemon> daemons() {
         return List.copyOf(daemons);
@@ -153,19 +158,24 @@
         return process;
     }
 
-    private String settingsOf(int index, List<Integer> ports, int slots) {
+    private String settingsOf(int index, int port, List<Integer> peerPorts, int slots) {
         StringBuilder text = new StringBuilder();
         text.append("[daemon]\nname = daemon-").append(index + 1);
         text.append("\nzone = zone-").append(index % 3 + 1);
-        text.append("\n[listen]\naddress = ").append(HOST).append(':').append(ports.get(index));
-        text.append("\nio_threads = 2\n[addresses]\nkeep_ms = 1000\ndaemons = ");
-        List<String> others = new ArrayList<>();
-        for (int i = 0; i < ports.size(); i++) {
-            if (i != index) {
-                others.add("daemon-" + (i + 1) + '@' + HOST + ':' + ports.get(i) + "/zone-" + (i % 3 + 1));
-            }
-        }
-        text.append(String.join(", ", others)).append("\n[log]\nformat = json\n");
+        text.append("\n[listen]\naddress = ").append(HOST).append(':').append(port);
+        text.append("\nio_threads = 2\n[addresses]\nkeep_ms = 1000\n[log]\nformat = json\n");
+        text.append("[peer]\naddress = ").append(HOST).append(':').append(peerPorts.get(index));
+        text.append("\nseeds = ")
+                .append(String.join(
+                        ", ",
+                        peerPorts.stream()
+                                .map(peerPort -> HOST + ':' + peerPort)
+                                .toList()));
+        text.append("\n[store]\nendpoints = ")
+                .append(HOST)
+                .append(':')
+                .append(storePort)
+                .append('\n');
         backendsByService.forEach((service, backends) -> {
             text.append("[service:").append(service).append("]\nslots = ").append(slots);
             text.append("\nservers = ");
@@ -179,6 +189,14 @@
         return text.toString();
     }
 
+    private static List<Integer> freePorts(int count) throws IOException {
+        List<Integer> ports = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            ports.add(freePort());
+        }
+        return ports;
+    }
+
     static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
             return socket.getLocalPort();
--- a/daemon/src/main/java/org/heatherreach/daemon/AddressParser.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/AddressParser.java
@@ -56,8 +56,7 @@
 
     static Either<String, InetSocketAddress> fixedAddress(String text) {
         return address(text)
-                .flatMap(address ->
-                        address.getPort() == 0 ? Either.left("the port is 0") : Either.right(address));
+                .flatMap(address -> address.getPort() == 0 ? Either.left("the port is 0") : Either.right(address));
     }
 
     static Either<String, List<InetSocketAddress>> addresses(String text) {
--- a/daemon/src/main/java/org/heatherreach/daemon/SettingsFile.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/SettingsFile.java
@@ -145,8 +145,8 @@
         InetSocketAddress peerAddress =
                 peer.require("address", new InetSocketAddress(1), AddressParser.PEER_FORM, AddressParser::fixedAddress);
         var seeds = peer.read("seeds", List.of(), AddressParser.ADDRESS_LIST_FORM, AddressParser::addresses);
-        var endpoints = store.require(
-                "endpoints", List.of(), AddressParser.ADDRESS_LIST_FORM, AddressParser::addresses);
+        var endpoints =
+                store.require("endpoints", List.of(), AddressParser.ADDRESS_LIST_FORM, AddressParser::addresses);
         Option<InetSocketAddress> vmList = vms.read(
                 "address",
                 Option.none(),
--- a/daemon/src/main/java/org/heatherreach/daemon/StandaloneParts.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/StandaloneParts.java
@@ -34,9 +34,7 @@
                 catalog,
                 scheduler,
                 port -> new SettingsAddressBook(
-                        settings.addresses(),
-                        new DaemonAddress(settings.daemon(), host, port, settings.zone()),
-                        gate),
+                        settings.addresses(), new DaemonAddress(settings.daemon(), host, port, settings.zone()), gate),
                 Option.none(),
                 ExchangeObserver.NONE,
                 (service, fingerprint) -> false,
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/FleetDaemon.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/FleetDaemon.java
@@ -176,11 +176,12 @@
 
     private static Map<ServiceId, List<ListedServer>> serversOf(DaemonSettings settings) {
         Map<ServiceId, List<ListedServer>> listed = new HashMap<>();
-        settings.services().forEach((service, entry) -> listed.put(
-                service,
-                entry.servers().stream()
-                        .map(server -> new ListedServer(server, false))
-                        .toList()));
+        settings.services()
+                .forEach((service, entry) -> listed.put(
+                        service,
+                        entry.servers().stream()
+                                .map(server -> new ListedServer(server, false))
+                                .toList()));
         return listed;
     }
 
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/MemberDuty.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/MemberDuty.java
@@ -51,18 +51,17 @@
     }
 
     /** Creates the duty; {@link #start} starts it. */
-    public MemberDuty(
-            Membership members,
-            MemberDirectory directory,
-            PacketSocket socket,
-            MeterRegistry registry) {
+    public MemberDuty(Membership members, MemberDirectory directory, PacketSocket socket, MeterRegistry registry) {
         this.members = Objects.requireNonNull(members, "members");
         this.directory = Objects.requireNonNull(directory, "directory");
         this.socket = Objects.requireNonNull(socket, "socket");
         this.malformedPackets = registry.counter("heatherreach.member.packets.malformed");
         this.duty = new DutyThread<>("member", RING_CAPACITY, this::handle, this::tick, TICK_NANOS);
         registry.gauge("heatherreach.member.ring.refused", duty, DutyThread::refusedEvents);
-        registry.gauge("heatherreach.member.live", directory, known -> known.view().live().size());
+        registry.gauge(
+                "heatherreach.member.live",
+                directory,
+                known -> known.view().live().size());
     }
 
     /** Adds a listener that learns what peers tell about the table and the store. */
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/TableDuty.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/TableDuty.java
@@ -153,8 +153,7 @@
         }
         spread.storeConfirmedNanos()
                 .ifPresentOrElse(
-                        confirmedNanos ->
-                                beaconSink.advertise(spread.version(), confirmedNanos, spread.isStoreAway()),
+                        confirmedNanos -> beaconSink.advertise(spread.version(), confirmedNanos, spread.isStoreAway()),
                         () -> beaconSink.advertise(spread.version(), nowNanos - UNCONFIRMED_AGE_NANOS, true));
     }
 
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/TableReader.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/TableReader.java
@@ -108,7 +108,8 @@
     }
 
     private static long startRevision(Either<TableStoreError, Option<TableSnapshot>> result, long knownVersion) {
-        long readVersion = result.map(snapshot -> snapshot.map(TableSnapshot::version).getOrElse(0L))
+        long readVersion = result.map(
+                        snapshot -> snapshot.map(TableSnapshot::version).getOrElse(0L))
                 .getOrElse(0L);
         return Math.max(knownVersion, readVersion) + 1;
     }
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/VmList.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/VmList.java
@@ -112,8 +112,7 @@
         }
     }
 
-    private void acceptEntry(
-            JsonNode entry, List<MemberAddress> daemons, Map<ServiceId, List<ListedServer>> found) {
+    private void acceptEntry(JsonNode entry, List<MemberAddress> daemons, Map<ServiceId, List<ListedServer>> found) {
         try {
             String service = entry.path("service").asText();
             boolean leaving = "leaving".equals(entry.path("state").asText());
