--- /dev/null
+++ b/transport/src/test/java/org/heatherreach/transport/http/ProxyFaultsTest.java
@@ -0,0 +1,442 @@
+package org.heatherreach.transport.http;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import net.jqwik.api.Example;
+import org.heatherreach.state.id.ServerId;
+import org.heatherreach.state.id.ServiceId;
+import org.heatherreach.state.outcome.Outcome;
+import org.heatherreach.state.table.ServiceLimits;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class ProxyFaultsTest {
+    private static final byte[] HELLO = "hello".getBytes(StandardCharsets.US_ASCII);
+
+    private static boolean hello(ScriptedBackend.Call call) throws java.io.IOException {
+        call.respond(200, "", HELLO);
+        return true;
+    }
+
+    private static ProxyLimits shortLimits() {
+        return new ProxyLimits(2048, 100_000, 1024, 50_000, 60, 60, 500, 60_000, 3, 1000);
+    }
+
+    // Guards against request smuggling: a message that two parsers could read differently must not reach a server.
+    @Example
+    void refusesAmbiguousFraming() throws Exception {
+        List<String> heads = List.of(
+                "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
+                "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+                "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+                "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3, 3\r\n\r\nabc",
+                "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: +3\r\n\r\nabc",
+                "POST / HTTP/1.1\r\nHost: x\r\nContent-Length : 3\r\n\r\nabc",
+                "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+                "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+                "GET / HTTP/1.1\r\nHost: x\r\nX-A: b\r\n folded\r\n\r\n",
+                "GET / HTTP/1.1\r\nHost: x\r\n\tContent-Length: 3\r\n\r\n",
+                "GET / HTTP/1.1\nHost: x\n\n",
+                "GET / HTTP/1.1\r\nHost: x\r\nX-A: b\rc\r\n\r\n",
+                "GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
+                "GET / HTTP/1.1\r\n\r\n",
+                "GET / HTTP/1.0\r\nHost: x\r\n\r\n",
+                "GET  / HTTP/1.1\r\nHost: x\r\n\r\n",
+                "GET / HTTP/1.1\r\nHost: x\r\nBad Name: y\r\n\r\n",
+                "GET / HTTP/1.1\r\nHost: x\r\nX-A: " + "y".repeat(20_000) + "\r\n\r\n");
+        try (ProxyFixture fixture =
+                new ProxyFixture().backend(ProxyFaultsTest::hello).start()) {
+            for (String head : heads) {
+                try (RawCaller caller = fixture.caller()) {
+                    caller.send(head);
+                    RawCaller.Response response = caller.read("GET");
+                    assertThat(response.status()).as(head).isEqualTo(400);
+                    assertThat(response.outcome()).as(head).isEqualTo("not-run");
+                    assertThat(response.reason()).as(head).isEqualTo("bad-request");
+                    assertThat(caller.isClosedByDaemon()).as(head).isTrue();
+                }
+            }
+            assertThat(fixture.backends.get(0).requests).hasValue(0);
+            assertThat(fixture.count("heatherreach.refusals", "reason", "bad-request"))
+                    .isEqualTo(heads.size());
+        }
+    }
+
+    // Guards against a malformed chunk that reaches a server as the end of a body, and against "not-run" afterwards.
+    @Example
+    void neverCompletesAMalformedChunkedBody() throws Exception {
+        for (String chunks :
+                List.of("5;x=y\r\nhello\r\n0\r\n\r\n", "5\r\nhelloX\r\n0\r\n\r\n", "-1\r\n", "5 \r\nhello")) {
+            AtomicInteger answered = new AtomicInteger();
+            try (ProxyFixture fixture = new ProxyFixture()
+                            .backend(call -> {
+                                answered.incrementAndGet();
+                                return hello(call);
+                            })
+                            .start();
+                    RawCaller caller = fixture.caller()) {
+                caller.send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
+                RawCaller.Response response = caller.read("POST");
+                assertThat(response.reason()).as(chunks).isEqualTo("bad-request");
+                assertThat(caller.isClosedByDaemon()).isTrue();
+                assertThat(answered).as(chunks).hasValue(0);
+            }
+        }
+    }
+
+    // Guards against an answer that loses its framing when the caller pipelines or sends a faulty second request.
+    @Example
+    void answersPipelinedRequestsInOrderBeforeAFaultyOne() throws Exception {
+        try (ProxyFixture fixture = new ProxyFixture()
+                        .backend(call -> {
+                            call.respond(200, "", call.target().getBytes(StandardCharsets.US_ASCII));
+                            return true;
+                        })
+                        .start();
+                RawCaller caller = fixture.caller()) {
+            caller.send(
+                    "GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\nGET /c HTTP/1.1\r\nbad\r\n\r\n");
+            assertThat(caller.read("GET").text()).isEqualTo("/a");
+            assertThat(caller.read("GET").text()).isEqualTo("/b");
+            assertThat(caller.read("GET").reason()).isEqualTo("bad-request");
+            assertThat(caller.isClosedByDaemon()).isTrue();
+        }
+    }
+
+    // Guards against requests that are run with a rank, time or service that the caller did not mean.
+    @Example
+    void refusesInvalidParameters() throws Exception {
+        try (ProxyFixture fixture =
+                        new ProxyFixture().backend(ProxyFaultsTest::hello).start();
+                RawCaller caller = fixture.caller()) {
+            assertThat(caller.get("/", "Heatherreach-Rank: highest").reason()).isEqualTo("invalid-rank");
+            assertThat(caller.get("/", "Heatherreach-Rank: bulk", "Heatherreach-Rank: bulk")
+                            .reason())
+                    .isEqualTo("invalid-rank");
+            for (String timeout : List.of("0", "-5", "1.5", "3600001", "99999999999", "")) {
+                assertThat(caller.get("/", "Heatherreach-Timeout-Ms: " + timeout)
+                                .reason())
+                        .as(timeout)
+                        .isEqualTo("invalid-timeout");
+            }
+            assertThat(caller.get("/", "Heatherreach-Service: nobody").reason()).isEqualTo("unknown-service");
+            assertThat(caller.get("/other").reason()).isEqualTo("unknown-service");
+            assertThat(caller.get("/", "Heatherreach-Key: k").reason()).isEqualTo("invalid-key");
+            assertThat(caller.get("/", "Heatherreach-Rank: urgent").text()).isEqualTo("hello");
+            assertThat(fixture.backends.get(0).requests).hasValue(1);
+        }
+    }
+
+    // Guards against memory that a caller fills, and against a slot that it holds, by sending slowly or too much.
+    @Example
+    void boundsWhatACallerSends() throws Exception {
+        try (ProxyFixture fixture = new ProxyFixture()
+                .backend(ProxyFaultsTest::hello)
+                .start(parts -> ProxyFixture.withLimits(parts, shortLimits()))) {
+            try (RawCaller caller = fixture.caller()) {
+                RawCaller.Response response = caller.post("/", new byte[100_001]);
+                assertThat(response.reason()).isEqualTo("body-too-large");
+                assertThat(response.outcome()).isEqualTo("not-run");
+                assertThat(caller.isClosedByDaemon()).isTrue();
+            }
+            try (RawCaller caller = fixture.caller()) {
+                caller.send("GET / HTTP/1.1\r\nHost:");
+                assertThat(caller.read("GET").reason()).isEqualTo("slow-caller");
+                assertThat(caller.isClosedByDaemon()).isTrue();
+            }
+            try (RawCaller caller = fixture.caller()) {
+                caller.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 500\r\n\r\nhalf");
+                RawCaller.Response response = caller.read("POST");
+                assertThat(response.reason()).isEqualTo("slow-caller");
+                assertThat(response.outcome()).isEqualTo("not-run");
+                assertThat(caller.isClosedByDaemon()).isTrue();
+            }
+            assertThat(fixture.backends.get(0).requests).hasValue(0);
+        }
+    }
+
+    // Guards against "not-run" for a body that was streamed in part, after which the server may have acted.
+    @Example
+    void saysUnknownWhenAStreamedBodyStalls() throws Exception {
+        try (ProxyFixture fixture = new ProxyFixture()
+                        .backend(ProxyFaultsTest::hello)
+                        .start(parts -> ProxyFixture.withLimits(parts, shortLimits()));
+                RawCaller caller = fixture.caller()) {
+            caller.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 50000\r\n\r\nhalf");
+            RawCaller.Response response = caller.read("POST");
+            assertThat(response.reason()).isEqualTo("slow-caller");
+            assertThat(response.outcome()).isEqualTo("unknown");
+            assertThat(caller.isClosedByDaemon()).isTrue();
+        }
+    }
+
+    // Guards against uploads and downloads that are cut or mixed up when they don't fit into one buffer.
+    @Example
+    void streamsLargeBodiesBothWays() throws Exception {
+        byte[] body = new byte[3_000_000];
+        new java.util.Random(5).nextBytes(body);
+        try (ProxyFixture fixture = new ProxyFixture()
+                        .backend(call -> {
+                            call.respond(200, "", call.body());
+                            return true;
+                        })
+                        .start();
+                RawCaller caller = fixture.caller()) {
+            for (int i = 0; i < 3; i++) {
+                assertThat(caller.post("/", body).body()).isEqualTo(body);
+            }
+            assertThat(fixture.backends.get(0).connections).hasValue(1);
+        }
+    }
+
+    // Guards against a truncated download that a caller takes for the whole.
+    @Example
+    void resetsTheCallerWhenAStreamBreaksOrStalls() throws Exception {
+        try (ProxyFixture fixture = new ProxyFixture()
+                .backend(call -> {
+                    call.send("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
+                    if (call.target().equals("/stall")) {
+                        call.awaitClose();
+                    }
+                    return false;
+                })
+                .start(parts -> ProxyFixture.withLimits(parts, shortLimits()))) {
+            for (String target : List.of("/break", "/stall")) {
+                try (RawCaller caller = fixture.caller()) {
+                    assertThatThrownBy(() -> caller.get(target)).isInstanceOf(java.io.IOException.class);
+                }
+            }
+            ProxyFixture.await(() -> fixture.meters.inFlight() == 0);
+            assertThat(fixture.count("heatherreach.caller.resets")).isEqualTo(2);
+        }
+    }
+
+    // Guards against a request that goes on at a server although its caller has left.
+    @Example
+    void cancelsAtTheServerWhenTheCallerDisconnects() throws Exception {
+        CountDownLatch arrived = new CountDownLatch(1);
+        CountDownLatch cancelled = new CountDownLatch(1);
+        try (ProxyFixture fixture = new ProxyFixture()
+                .backend(call -> {
+                    arrived.countDown();
+                    call.awaitClose();
+                    cancelled.countDown();
+                    return false;
+                })
+                .start()) {
+            RawCaller caller = fixture.caller();
+            caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+            arrived.await();
+            caller.close();
+            cancelled.await();
+            ProxyFixture.await(() -> fixture.meters.inFlight() == 0);
+            assertThat(fixture.count("heatherreach.caller.disconnects")).isEqualTo(1);
+        }
+    }
+
+    // Guards against a caller that closes its sending side and holds a slot for ever.
+    @Example
+    void treatsAHalfClosedCallerAsGone() throws Exception {
+        CountDownLatch arrived = new CountDownLatch(1);
+        CountDownLatch cancelled = new CountDownLatch(1);
+        try (ProxyFixture fixture = new ProxyFixture()
+                        .backend(call -> {
+                            arrived.countDown();
+                            call.awaitClose();
+                            cancelled.countDown();
+                            return false;
+                        })
+                        .start();
+                RawCaller caller = fixture.caller()) {
+            caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+            arrived.await();
+            caller.shutdownOutput();
+            cancelled.await();
+        }
+    }
+
+    // Guards against a deadline that servers don't learn, or learn longer than the caller waits.
+    @Example
+    void passesTheRemainingTimeOnAndGivesUpAtTheDeadline() throws Exception {
+        CompletableFuture<Integer> stated = new CompletableFuture<>();
+        try (ProxyFixture fixture = new ProxyFixture()
+                        .backend(call -> {
+                            stated.complete(Integer.valueOf(call.headers().get("heatherreach-timeout-ms")));
+                            call.awaitClose();
+                            return false;
+                        })
+                        .start();
+                RawCaller caller = fixture.caller()) {
+            RawCaller.Response response = caller.get("/", "Heatherreach-Timeout-Ms: 150");
+            assertThat(response.status()).isEqualTo(504);
+            assertThat(response.reason()).isEqualTo("server-timeout");
+            assertThat(response.outcome()).isEqualTo("unknown");
+            assertThat(stated.get()).isBetween(1, 150);
+        }
+    }
+
+    // Guards against retries that run a request twice, and against retries beyond the budget of 10 %.
+    @Example
+    void repeatsOnlyWhatIsSafeAndWithinTheBudget() throws Exception {
+        AtomicInteger shed = new AtomicInteger();
+        try (ProxyFixture fixture = new ProxyFixture()
+                        .backend(call -> {
+                            switch (call.target()) {
+                                case "/lost" -> call.reset();
+                                case "/shed" -> {
+                                    shed.incrementAndGet();
+                                    call.respond(503, "Retry-After: 7\r\nBackend-Shed: true\r\n", new byte[0]);
+                                }
+                                default -> call.respond(200, "", HELLO);
+                            }
+                            return !call.target().equals("/lost");
+                        })
+                        .start();
+                RawCaller caller = fixture.caller()) {
+            RawCaller.Response first = caller.get("/shed");
+            assertThat(first.reason()).isEqualTo("servers-shed");
+            assertThat(first.outcome()).isEqualTo("not-run");
+            assertThat(first.headers()).containsEntry("retry-after", "7");
+            assertThat(shed).as("one request allows no retry").hasValue(1);
+            for (int i = 0; i < 49; i++) {
+                caller.get("/");
+            }
+            RawCaller.Response lostPost = caller.post("/lost", HELLO);
+            assertThat(lostPost.reason()).isEqualTo("server-lost");
+            assertThat(lostPost.outcome()).isEqualTo("unknown");
+            assertThat(fixture.count("heatherreach.retries", "reason", "connection-lost"))
+                    .isZero();
+            for (int i = 0; i < 10; i++) {
+                assertThat(caller.get("/lost").outcome()).isEqualTo("unknown");
+            }
+            // 61 requests in the window allow 6 retries.
+            assertThat(fixture.count("heatherreach.retries", "reason", "connection-lost"))
+                    .isBetween(5.0, 6.0);
+            assertThat(fixture.count("heatherreach.retries.over.budget")).isPositive();
+        }
+    }
+
+    // Guards against a request that is lost because one server is down, and against "unknown" where nothing was sent.
+    @Example
+    void refusesAsNotRunWhenNoConnectionCanBeMade() throws Exception {
+        InetSocketAddress dead;
+        try (ScriptedBackend closed = new ScriptedBackend(ProxyFaultsTest::hello)) {
+            dead = closed.address();
+        }
+        ProxyFixture fixture = new ProxyFixture();
+        try (fixture) {
+            fixture.start(List.of(ProxyFixture.server("dead", dead)), parts -> parts);
+            try (RawCaller caller = fixture.caller()) {
+                RawCaller.Response response = caller.post("/", HELLO);
+                assertThat(response.reason()).isEqualTo("connect-failed");
+                assertThat(response.outcome()).isEqualTo("not-run");
+                assertThat(response.status()).isEqualTo(502);
+            }
+        }
+    }
+
+    // Guards against queued requests that wait beyond their deadline or beyond the limit of the queue.
+    @Example
+    void boundsTheQueueByLengthAndDeadline() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        CountDownLatch occupied = new CountDownLatch(1);
+        try (ProxyFixture fixture = new ProxyFixture().backend(call -> {
+            occupied.countDown();
+            release.await();
+            return hello(call);
+        })) {
+            fixture.catalog.limits = new ServiceLimits(ProxyFixture.SERVICE, 50, 1, 10, 10);
+            fixture.catalog.queueLimit = 1;
+            fixture.start();
+            try (RawCaller first = fixture.caller();
+                    RawCaller second = fixture.caller();
+                    RawCaller third = fixture.caller()) {
+                first.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+                occupied.await();
+                second.send("GET /2 HTTP/1.1\r\nHost: x\r\nHeatherreach-Timeout-Ms: 400\r\n\r\n");
+                ProxyFixture.await(() -> fixture.meters.inFlight() == 2);
+                RawCaller.Response full = third.get("/3");
+                assertThat(full.reason()).isEqualTo("queue-full");
+                assertThat(full.outcome()).isEqualTo("not-run");
+                assertThat(full.headers()).containsKey("retry-after");
+                RawCaller.Response late = second.read("GET");
+                assertThat(late.reason()).isEqualTo("deadline-passed");
+                assertThat(late.outcome()).isEqualTo("not-run");
+                release.countDown();
+                assertThat(first.read("GET").text()).isEqualTo("hello");
+                // The slot was freed exactly once, so the next request finds it.
+                assertThat(third.get("/4").text()).isEqualTo("hello");
+            }
+            assertThat(fixture.backends.get(0).seenTargets).containsExactlyInAnyOrder("/1", "/4");
+        }
+    }
+
+    // Guards against new work on a daemon whose table may be out of date, and against its address being given out.
+    @Example
+    void refusesNewWorkWhileIsolated() throws Exception {
+        try (ProxyFixture fixture =
+                        new ProxyFixture().backend(ProxyFaultsTest::hello).start();
+                RawCaller caller = fixture.caller()) {
+            fixture.gate.setIsolated(true);
+            assertThat(fixture.gate.isListed()).isFalse();
+            assertThat(caller.get("/").reason()).isEqualTo("isolated");
+            fixture.gate.setIsolated(false);
+            assertThat(caller.get("/").text()).isEqualTo("hello");
+        }
+    }
+
+    // Guards against evidence that is missing, doubled or of the wrong kind, on which servers would be judged.
+    @Example
+    void reportsEachExchangeOnceWithItsKind() throws Exception {
+        ConcurrentLinkedQueue<String> events = new ConcurrentLinkedQueue<>();
+        ExchangeObserver observer = new ExchangeObserver() {
+            @Override
+            public void dispatched(ServiceId service, ServerId server, long fingerprint, long nowNanos) {
+                events.add("begin " + fingerprint);
+            }
+
+            @Override
+            public void ended(
+                    ServiceId service, ServerId server, long fingerprint, ExchangeResult result, long nowNanos) {
+                events.add(result.failure() + " " + result.outcome() + " " + fingerprint);
+            }
+        };
+        ConcurrentLinkedQueue<Long> refused = new ConcurrentLinkedQueue<>();
+        try (ProxyFixture fixture = new ProxyFixture()
+                        .backend(call -> {
+                            switch (call.target()) {
+                                case "/error" -> call.respond(500, "", HELLO);
+                                case "/cut" -> call.send("HTTP/1.1 200 X\r\nContent-Length: 10\r\n\r\nabc");
+                                case "/late" -> call.awaitClose();
+                                default -> call.respond(200, "", HELLO);
+                            }
+                            return call.target().equals("/error")
+                                    || call.target().equals("/");
+                        })
+                        .start(parts -> ProxyFixture.withObserver(
+                                parts, observer, (service, fingerprint) -> refused.contains(fingerprint)));
+                RawCaller caller = fixture.caller()) {
+            assertThat(caller.get("/").text()).isEqualTo("hello");
+            assertThat(caller.get("/error").status()).isEqualTo(500);
+            assertThat(caller.get("/cut").outcome()).isEqualTo("unknown");
+            assertThat(caller.get("/late", "Heatherreach-Timeout-Ms: 50").outcome())
+                    .isEqualTo("unknown");
+            ProxyFixture.await(() -> events.size() == 8);
+            List<String> all = List.copyOf(events);
+            String fingerprint = all.get(0).substring("begin ".length());
+            assertThat(all.get(1)).isEqualTo(FailureKind.NONE + " " + Outcome.BACKEND + " " + fingerprint);
+            assertThat(all.get(3)).startsWith("ERROR BACKEND");
+            assertThat(all.get(5)).startsWith("TRUNCATED UNKNOWN");
+            assertThat(all.get(7)).startsWith("STALLED UNKNOWN");
+            refused.add(Long.valueOf(fingerprint));
+            assertThat(caller.get("/").reason()).isEqualTo("crash-suspect");
+        }
+    }
+}
--- a/transport/src/test/java/org/heatherreach/transport/http/ProxyFixture.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/ProxyFixture.java
@@ -151,11 +151,15 @@
         return registry.get(name).counter().count();
     }
 
-    /** Waits for a condition; a test that never reaches it hangs visibly instead of failing on a slow machine. */
+    /** Waits for a condition. The limit only ends a test that hangs; no test depends on its value. */
     static void await(BooleanSupplier condition) {
-        while (!condition.getAsBoolean()) {
+        for (int i = 0; i < 20_000; i++) {
+            if (condition.getAsBoolean()) {
+                return;
+            }
             LockSupport.parkNanos(1_000_000);
         }
+        throw new AssertionError("the condition never came true");
     }
 
     @Override
