--- /dev/null
+++ b/tools/src/main/java/org/heatherreach/tools/FleetClient.java
@@ -0,0 +1,174 @@
+package org.heatherreach.tools;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.ConnectTimeoutException;
+import io.vavr.control.Option;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
+
+/**
+ * Asks daemons over their HTTP endpoints. The daemons to ask are the seeds, the live daemons of the VM list, and every
+ * member that an asked daemon names. Confined to the main thread.
+ */
+final class FleetClient implements AutoCloseable {
+    /** The service name of daemons in the VM list. */
+    static final String DAEMON_SERVICE = "heatherreach";
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+    private static final int CONCURRENCY = 32;
+    /** Members in these states serve no callers any more. */
+    private static final Set<String> GONE = Set.of("dead", "left");
+
+    private final List<InetSocketAddress> seeds;
+    private final Option<InetSocketAddress> vmList;
+    private final ConnectionProvider connections = ConnectionProvider.create("daemons", CONCURRENCY);
+    private final HttpClient http = HttpClient.create(connections).disableRetry(true);
+
+    FleetClient(List<InetSocketAddress> seeds, Option<InetSocketAddress> vmList) {
+        this.seeds = seeds;
+        this.vmList = vmList;
+    }
+
+    @Override
+    public void close() {
+        connections.dispose();
+    }
+
+    /** Asks every known daemon for its status. */
+    FleetReport report() {
+        // Values are ids; an address without id is shown as itself.
+        Map<String, String> found = new LinkedHashMap<>();
+        Set<String> departed = new java.util.HashSet<>();
+        seeds.forEach(seed -> found.put(text(seed), text(seed)));
+        String problem = addVms(found);
+        Map<String, DaemonStatus> asked = new LinkedHashMap<>();
+        while (asked.size() < found.size()) {
+            List<Map.Entry<String, String>> next = found.entrySet().stream()
+                    .filter(entry -> !asked.containsKey(entry.getKey()))
+                    .map(entry -> Map.entry(entry.getKey(), entry.getValue()))
+                    .toList();
+            List<Answer> answers = Flux.fromIterable(next)
+                    .flatMap(entry -> askStatus(entry.getKey(), entry.getValue()), CONCURRENCY)
+                    .collectList()
+                    .block();
+            for (Answer answer : answers) {
+                asked.put(answer.status().address(), answer.status());
+                for (JsonNode member : answer.members()) {
+                    String address = member.path("host").asText() + ":"
+                            + member.path("callerPort").asText();
+                    if (GONE.contains(member.path("state").asText().toLowerCase(java.util.Locale.ROOT))) {
+                        departed.add(address);
+                    } else {
+                        found.putIfAbsent(address, member.path("daemon").asText(address));
+                    }
+                }
+            }
+        }
+        List<DaemonStatus> statuses = new ArrayList<>(asked.values());
+        // A seed that does not answer and that the fleet knows to be gone is not waited for.
+        statuses.removeIf(status -> !status.isReachable() && departed.contains(status.address()));
+        statuses.sort(java.util.Comparator.comparing(DaemonStatus::daemon));
+        return new FleetReport(statuses, problem);
+    }
+
+    /** Sends a request to one daemon; the answer is empty if it does not answer. */
+    Option<Reply> ask(String method, String address, String path) {
+        return send(method, address, path)
+                .map(Option::some)
+                .defaultIfEmpty(Option.none())
+                .block();
+    }
+
+    /** Returns whether a daemon has stopped: nothing listens there, or the other daemons know that it is gone. */
+    boolean isStopped(String address) {
+        boolean refused = http.get()
+                .uri("http://" + address + "/heatherreach/status")
+                .responseSingle((response, content) -> Mono.just(false))
+                .timeout(TIMEOUT)
+                .onErrorResume(error ->
+                        Mono.just(error instanceof ConnectException && !(error instanceof ConnectTimeoutException)))
+                .block();
+        return refused
+                || report().daemons().stream()
+                        .noneMatch(status -> status.address().equals(address));
+    }
+
+    private Mono<Answer> askStatus(String address, String knownId) {
+        return send("GET", address, "/heatherreach/status")
+                .filter(reply -> reply.status() == 200)
+                .map(reply -> {
+                    JsonNode body = reply.body();
+                    DaemonStatus status = new DaemonStatus(
+                            address,
+                            body.path("daemon").asText(knownId),
+                            body.path("incarnation").asText(),
+                            body.path("zone").asText(),
+                            body.path("state").asText("unknown"),
+                            body.path("tableVersion").asLong(0));
+                    return new Answer(status, body.path("members"));
+                })
+                .defaultIfEmpty(new Answer(
+                        new DaemonStatus(address, knownId, "", "", DaemonStatus.UNREACHABLE, -1),
+                        MAPPER.createArrayNode()));
+    }
+
+    private Mono<Reply> send(String method, String address, String path) {
+        return http.request(io.netty.handler.codec.http.HttpMethod.valueOf(method))
+                .uri("http://" + address + path)
+                .responseSingle((response, content) -> content.asByteArray()
+                        .defaultIfEmpty(new byte[0])
+                        .map(bytes -> new Reply(response.status().code(), parse(bytes))))
+                .timeout(TIMEOUT)
+                .onErrorResume(error -> Mono.empty());
+    }
+
+    private String addVms(Map<String, String> found) {
+        if (vmList.isEmpty()) {
+            return "";
+        }
+        Option<Reply> reply = ask("GET", text(vmList.get()), "/v1/vms");
+        if (reply.isEmpty() || reply.get().status() != 200) {
+            return "the list of VMs at " + text(vmList.get()) + " does not answer";
+        }
+        for (JsonNode vm : reply.get().body().path("vms")) {
+            if (DAEMON_SERVICE.equals(vm.path("service").asText())
+                    && "live".equals(vm.path("state").asText())) {
+                found.put(vm.path("address").asText(), vm.path("id").asText());
+            }
+        }
+        return "";
+    }
+
+    private static JsonNode parse(byte[] body) {
+        try {
+            JsonNode node = MAPPER.readTree(body);
+            return node == null ? MAPPER.createObjectNode() : node;
+        } catch (IOException e) {
+            return MAPPER.createObjectNode();
+        }
+    }
+
+    private static String text(InetSocketAddress address) {
+        String host = address.getHostString();
+        return (host.indexOf(':') >= 0 ? "[" + host + "]" : host) + ":" + address.getPort();
+    }
+
+    /** The answer of a daemon. */
+    record Reply(int status, JsonNode body) {}
+
+    private record Answer(DaemonStatus status, JsonNode members) {}
+}
--- /dev/null
+++ b/tools/src/main/java/org/heatherreach/tools/Format.java
@@ -0,0 +1,9 @@
+package org.heatherreach.tools;
+
+/** How results are printed. */
+enum Format {
+    /** Lines for people. */
+    TEXT,
+    /** One JSON document for programs. */
+    JSON
+}
--- /dev/null
+++ b/tools/src/main/java/org/heatherreach/tools/StoreOptions.java
@@ -0,0 +1,50 @@
+package org.heatherreach.tools;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Function;
+
+import com.beust.jcommander.Parameter;
+import io.vavr.control.Either;
+import org.heatherreach.transport.kv.HttpKeyValueStore;
+import org.heatherreach.transport.kv.TableStore;
+import org.heatherreach.transport.kv.TableStoreError;
+import reactor.core.publisher.Mono;
+
+/** The options of commands that use the key-value service. */
+final class StoreOptions {
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration WATCH_IDLE_TIMEOUT = Duration.ofMinutes(1);
+
+    @Parameter(names = "--store", description = "Addresses of the key-value service, HOST:PORT[,HOST:PORT...]")
+    private String store = "";
+
+    /** Connects, runs the function and disconnects; a failure of the store ends the command. */
+    <T> T use(ToolContext context, Function<TableStore, Mono<Either<TableStoreError, T>>> function) {
+        return useWithErrors(context, function).getOrElseThrow(StoreOptions::failure);
+    }
+
+    <T> Either<TableStoreError, T> useWithErrors(
+            ToolContext context, Function<TableStore, Mono<Either<TableStoreError, T>>> function) {
+        String text = store.isEmpty() ? context.environment("HEATHERREACH_STORE") : store;
+        List<InetSocketAddress> endpoints = Addresses.read("--store", text);
+        if (endpoints.isEmpty()) {
+            throw new ToolException(ExitCode.USAGE, "state the store by --store or HEATHERREACH_STORE");
+        }
+        try (HttpKeyValueStore client =
+                new HttpKeyValueStore(endpoints, CALL_TIMEOUT, WATCH_IDLE_TIMEOUT, new java.util.SplittableRandom())) {
+            return function.apply(new TableStore(client, new java.util.SplittableRandom()))
+                    .block();
+        }
+    }
+
+    boolean isGiven(ToolContext context) {
+        return !store.isEmpty() || !context.environment("HEATHERREACH_STORE").isEmpty();
+    }
+
+    static ToolException failure(TableStoreError error) {
+        ExitCode code = error instanceof TableStoreError.Undetermined ? ExitCode.UNDETERMINED : ExitCode.UNAVAILABLE;
+        return new ToolException(code, error.reason());
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/org/heatherreach/tools/Tool.java
@@ -0,0 +1,102 @@
+package org.heatherreach.tools;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+
+/** The operators' tool without its process. Confined to one thread. */
+final class Tool {
+    private final PrintStream output;
+    private final PrintStream errors;
+    private final Map<String, String> environment;
+
+    @Parameter(
+            names = {"--help", "-h"},
+            help = true,
+            description = "Show this help")
+    private boolean help;
+
+    Tool(PrintStream output, PrintStream errors, Map<String, String> environment) {
+        this.output = output;
+        this.errors = errors;
+        this.environment = environment;
+    }
+
+    /** Runs a command line and returns its exit code. */
+    int run(String... args) {
+        Map<String, ToolCommand> commands = new LinkedHashMap<>();
+        commands.put("export", new ExportCommand());
+        commands.put("check", new CheckCommand());
+        commands.put("diff", new DiffCommand());
+        commands.put("apply", new ApplyCommand());
+        commands.put("history", new HistoryCommand());
+        commands.put("status", new StatusCommand());
+        commands.put("servers", new ServersCommand());
+        commands.put("explain", new ExplainCommand());
+        commands.put("drain", new DrainCommand());
+        JCommander commander = JCommander.newBuilder()
+                .addObject(this)
+                .programName("heatherreach")
+                .build();
+        commands.forEach(commander::addCommand);
+        try {
+            commander.parse(args);
+        } catch (ParameterException e) {
+            errors.println("heatherreach: " + e.getMessage() + "; see heatherreach --help");
+            return ExitCode.USAGE.code();
+        }
+        String name = commander.getParsedCommand();
+        if (help || name == null) {
+            overview(commands).forEach((help ? output : errors)::println);
+            return help ? ExitCode.DONE.code() : ExitCode.USAGE.code();
+        }
+        ToolCommand command = commands.get(name);
+        if (command.isHelp()) {
+            usage(commander, name, command);
+            return ExitCode.DONE.code();
+        }
+        ToolContext context = new ToolContext(output, errors, environment, command.format());
+        try {
+            return command.run(context).code();
+        } catch (ToolException e) {
+            context.fail(e);
+            return e.exitCode().code();
+        }
+    }
+
+    private static List<String> overview(Map<String, ToolCommand> commands) {
+        List<String> lines = new ArrayList<>();
+        lines.add("Usage: heatherreach COMMAND [options]; heatherreach COMMAND --help shows the options and examples");
+        lines.add("");
+        commands.forEach((name, command) -> lines.add(String.format(
+                "  %-8s  %s",
+                name, command.getClass().getAnnotation(Parameters.class).commandDescription())));
+        lines.add("");
+        lines.add("Addresses are given by options or by the environment:");
+        lines.add("  HEATHERREACH_STORE    key-value service, HOST:PORT[,HOST:PORT...]");
+        lines.add("  HEATHERREACH_DAEMONS  some daemons, HOST:PORT[,HOST:PORT...]; the others are asked from them");
+        lines.add(
+                "  HEATHERREACH_VMS      list of VMs, HOST:PORT; without it, VMs unknown to the daemons are not counted");
+        lines.add("");
+        lines.add("Exit codes:");
+        for (ExitCode code : ExitCode.values()) {
+            lines.add(String.format("  %d  %s", code.code(), code.meaning()));
+        }
+        return lines;
+    }
+
+    private void usage(JCommander commander, String name, ToolCommand command) {
+        StringBuilder text = new StringBuilder();
+        commander.getUsageFormatter().usage(name, text, "");
+        output.println(text);
+        output.println("Examples:");
+        command.examples().forEach(example -> output.println("  " + example));
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/org/heatherreach/tools/ToolException.java
@@ -0,0 +1,15 @@
+package org.heatherreach.tools;
+
+/** Ends a command with a message and an exit code. */
+final class ToolException extends RuntimeException {
+    private final ExitCode exitCode;
+
+    ToolException(ExitCode exitCode, String message) {
+        super(message);
+        this.exitCode = exitCode;
+    }
+
+    ExitCode exitCode() {
+        return exitCode;
+    }
+}
--- a/tools/src/main/java/org/heatherreach/tools/ToolMain.java
+++ b/tools/src/main/java/org/heatherreach/tools/ToolMain.java
@@ -1,11 +1,20 @@
 package org.heatherreach.tools;
 
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
 /** Entry point of {@code heatherreach}. Stateless. */
 public final class ToolMain {
     private ToolMain() {}
 
-    /** Runs the program. */
+    /** Runs the program and exits with one of {@link ExitCode}. */
     public static void main(String[] args) {
-        System.exit(2);
+        System.setProperty("java.util.logging.manager", "org.jboss.logmanager.LogManager");
+        // The tool reports failed connections itself; the libraries' log lines would hide its messages.
+        Logger.getLogger("reactor").setLevel(Level.OFF);
+        Logger.getLogger("io.netty").setLevel(Level.OFF);
+        int code = new Tool(System.out, System.err, System.getenv()).run(args);
+        System.out.flush();
+        System.exit(code);
     }
 }
--- /dev/null
+++ b/tools/src/test/java/org/heatherreach/tools/FakeDaemon.java
@@ -0,0 +1,66 @@
+package org.heatherreach.tools;
+
+import java.util.List;
+
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+
+/** Answers the endpoints of a daemon that the tool asks. */
+final class FakeDaemon implements AutoCloseable {
+    private final String id;
+    private final DisposableServer server;
+    private volatile long version;
+    private volatile List<FakeDaemon> members = List.of();
+    private volatile String state = "alive";
+
+    FakeDaemon(String id) {
+        this.id = id;
+        server = HttpServer.create()
+                .host("127.0.0.1")
+                .port(0)
+                .route(routes -> routes.get(
+                                "/heatherreach/status", (request, response) -> response.sendString(Mono.just(status())))
+                        .get(
+                                "/heatherreach/servers",
+                                (request, response) -> response.sendString(Mono.just("{\"servers\":[{\"server\":\"s1\","
+                                        + "\"state\":\"ejected\"},{\"server\":\"s2\",\"state\":\"in-use\"}]}")))
+                        .get(
+                                "/heatherreach/explain/r-1",
+                                (request, response) -> response.sendString(Mono.just("{\"reason\":\"queue-full\"}")))
+                        .post("/heatherreach/drain", (request, response) -> {
+                            state = "leaving";
+                            return response.send();
+                        }))
+                .bindNow();
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.port();
+    }
+
+    void setVersion(long newVersion) {
+        version = newVersion;
+    }
+
+    void setMembers(FakeDaemon... newMembers) {
+        members = List.of(newMembers);
+    }
+
+    private String status() {
+        StringBuilder text = new StringBuilder();
+        for (FakeDaemon member : members) {
+            text.append(text.isEmpty() ? "" : ",")
+                    .append("{\"daemon\":\"" + member.id + "\",\"host\":\"127.0.0.1\",\"callerPort\":"
+                            + member.server.port() + ",\"state\":\"" + member.state
+                            + "\",\"tableVersion\":" + member.version + "}");
+        }
+        return "{\"daemon\":\"" + id + "\",\"incarnation\":\"1\",\"zone\":\"a\",\"tableVersion\":" + version
+                + ",\"state\":\"" + state + "\",\"members\":[" + text + "]}";
+    }
+
+    @Override
+    public void close() {
+        server.disposeNow();
+    }
+}
