--- a/standins/src/main/java/org/heatherreach/standins/BackendFaults.java
+++ b/standins/src/main/java/org/heatherreach/standins/BackendFaults.java
@@ -14,6 +14,7 @@
  * @param crashDownMillis how long the server stays down after a crash
  * @param flapMillis the period of flapping: in every second period all requests fail; 0 for none
  * @param coldStartFactor the factor on the service time during the cold start
+ * @param connectionLimit the number of connections that are accepted, or -1 for the limit of the settings
  * @param draining whether responses carry {@code Backend-Draining: true}
  * @param honourDeadlines whether work stops with status 504 when {@code Heatherreach-Timeout-Ms} has passed
  * @param healthLagMillis how old the answers of {@code /health} and {@code /load} are
@@ -32,6 +33,7 @@
         int crashDownMillis,
         int flapMillis,
         double coldStartFactor,
+        int connectionLimit,
         boolean draining,
         boolean honourDeadlines,
         int healthLagMillis,
@@ -39,5 +41,5 @@
         int loadLie) {
     /** No fault; deadlines are honoured and a marked request crashes the server for one second. */
     public static final BackendFaults NONE =
-            new BackendFaults(0, 10, 0, 0, 0, 0, false, true, 1000, 0, 10, false, true, 0, 0, -1);
+            new BackendFaults(0, 10, 0, 0, 0, 0, false, true, 1000, 0, 10, -1, false, true, 0, 0, -1);
 }
--- a/standins/src/main/java/org/heatherreach/standins/BackendServer.java
+++ b/standins/src/main/java/org/heatherreach/standins/BackendServer.java
@@ -104,6 +104,15 @@
         faults = newFaults;
     }
 
+    /**
+     * Changes some faults by a JSON object with their names, as the admin endpoint does.
+     *
+     * @throws IllegalArgumentException if a name is unknown or a value has the wrong type
+     */
+    public void setFaults(String json) {
+        switchFaults(Json.read(json));
+    }
+
     /** Returns the faults in force. */
     public BackendFaults faults() {
         return faults;
@@ -111,10 +120,13 @@
 
     /** Drops all connections at once and stays down for the time that the faults state. */
     public void crash() {
-        stopListening();
         add("crash");
-        Mono.delay(Duration.ofMillis(faults.crashDownMillis()), Schedulers.boundedElastic())
-                .subscribe(tick -> restart());
+        // Closing the listener waits, which event loops must not do.
+        Schedulers.boundedElastic().schedule(() -> {
+            stopListening();
+            Mono.delay(Duration.ofMillis(faults.crashDownMillis()), Schedulers.boundedElastic())
+                    .subscribe(tick -> restart());
+        });
     }
 
     @Override
@@ -125,7 +137,7 @@
     }
 
     private synchronized void restart() {
-        if (!closed) {
+        if (!closed && server.isDisposed()) {
             server = listen(port);
         }
     }
@@ -149,7 +161,7 @@
                 .port(listenPort)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .doOnConnection(connection -> {
-                    if (channels.size() >= settings.connectionLimit()) {
+                    if (channels.size() >= connectionLimit()) {
                         add("connectionRefused");
                         connection.channel().close();
                         return;
@@ -161,6 +173,11 @@
                 .bindNow();
     }
 
+    private int connectionLimit() {
+        int switched = faults.connectionLimit();
+        return switched >= 0 ? switched : settings.connectionLimit();
+    }
+
     private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
         String path = new QueryStringDecoder(request.uri()).path();
         if ("/health".equals(path) || "/load".equals(path)) {
@@ -188,9 +205,7 @@
         }
         if (current.crashOnMark() && "true".equals(request.requestHeaders().get("Standin-Crash"))) {
             countRun(request);
-            Mono.fromRunnable(this::crash)
-                    .subscribeOn(Schedulers.boundedElastic())
-                    .subscribe();
+            crash();
             return Mono.never();
         }
         SlotGate currentGate = gate;
--- a/standins/src/main/java/org/heatherreach/standins/SlotGate.java
+++ b/standins/src/main/java/org/heatherreach/standins/SlotGate.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -32,7 +33,15 @@
                 }
                 queue.addLast(waiter);
             }
-            return waiter.asMono().doOnCancel(() -> abandon(waiter));
+            // A cancellation also arrives after the slot was passed on, when it must not be released twice.
+            AtomicBoolean settled = new AtomicBoolean();
+            return waiter.asMono()
+                    .filter(taken -> settled.compareAndSet(false, true))
+                    .doOnCancel(() -> {
+                        if (settled.compareAndSet(false, true)) {
+                            abandon(waiter);
+                        }
+                    });
         });
     }
 
--- a/standins/src/main/java/org/heatherreach/standins/VmListServer.java
+++ b/standins/src/main/java/org/heatherreach/standins/VmListServer.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.List;
 
+import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.databind.JsonNode;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
@@ -124,9 +125,11 @@
     /** Whether a VM stays. */
     public enum State {
         /** In use. */
-        live,
+        @JsonProperty("live")
+        LIVE,
         /** About to be stopped. */
-        leaving
+        @JsonProperty("leaving")
+        LEAVING
     }
 
     private record Version(long setNanos, List<Vm> vms) {}
--- a/standins/src/test/java/org/heatherreach/standins/BackendServerTest.java
+++ b/standins/src/test/java/org/heatherreach/standins/BackendServerTest.java
@@ -13,6 +13,8 @@
 import java.util.function.BooleanSupplier;
 
 import net.jqwik.api.Example;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -53,6 +55,21 @@
         }
     }
 
+    // Guards against a slot that is released twice when a request that had to queue is cancelled while it runs.
+    @Example
+    void cancelledRequestReleasesItsSlotOnce() {
+        SlotGate gate = new SlotGate(1, 1);
+        gate.acquire().block();
+        Disposable queued = gate.acquire()
+                .flatMap(taken -> Mono.never().doFinally(signal -> gate.release()))
+                .subscribe();
+        assertThat(gate.queued()).isEqualTo(1);
+        gate.release();
+        assertThat(gate.inUse()).isEqualTo(1);
+        queued.dispose();
+        assertThat(gate.inUse()).isZero();
+    }
+
     // Guards against miscounted runs, on which every at-most-once test relies.
     @Example
     void countsRunsByExecutionKey() throws Exception {
--- a/standins/src/test/java/org/heatherreach/standins/LinkRelayTest.java
+++ b/standins/src/test/java/org/heatherreach/standins/LinkRelayTest.java
@@ -60,7 +60,7 @@
     void vmListLags() throws Exception {
         try (VmListServer vms = new VmListServer("127.0.0.1", 0, 0, 3_600_000)) {
             vms.set(java.util.List.of(
-                    new VmListServer.Vm("v1", "127.0.0.1:1", "a", "benchdesk", VmListServer.State.live)));
+                    new VmListServer.Vm("v1", "127.0.0.1:1", "a", "benchdesk", VmListServer.State.LIVE)));
             assertThat(fetch(vms)).isEqualTo("{\"vms\":[]}");
             vms.setFaults(0, false);
             assertThat(fetch(vms))
--- a/tools/src/test/java/org/heatherreach/tools/ToolTest.java
+++ b/tools/src/test/java/org/heatherreach/tools/ToolTest.java
@@ -109,7 +109,7 @@
             assertThat(errors).contains("in force at 1 of 2 daemons");
             second.setVersion(Long.MAX_VALUE);
             assertThat(run("status")).isZero();
-            vms.set(List.of(new VmListServer.Vm("d3", "127.0.0.1:1", "a", "heatherreach", VmListServer.State.live)));
+            vms.set(List.of(new VmListServer.Vm("d3", "127.0.0.1:1", "a", "heatherreach", VmListServer.State.LIVE)));
             environment.put("HEATHERREACH_VMS", "127.0.0.1:" + vms.port());
             assertThat(run("status")).isEqualTo(ExitCode.PENDING.code());
             assertThat(output).contains("d3 at 127.0.0.1:1 does not answer");
