--- a/transport/src/main/java/org/heatherreach/transport/kv/TableStore.java
+++ b/transport/src/main/java/org/heatherreach/transport/kv/TableStore.java
@@ -57,18 +57,21 @@
     /** One response holds no more than this many chunks, at most 8 MB. */
     private static final int READ_BATCH_LIMIT = 16;
 
-    private static final int ATTEMPT_LIMIT = 8;
-    private static final long FIRST_DELAY_MILLIS = 50;
-    private static final long DELAY_LIMIT_MILLIS = 1000;
-
     private final KeyValueStore store;
     private final RandomGenerator random;
+    private final RetryDelays delays;
     private volatile Map<String, TableChunk> known = Map.of();
 
-    /** Creates a table store; it makes no call yet. */
+    /** Creates a table store with the standard delays; it makes no call yet. */
     public TableStore(KeyValueStore store, RandomGenerator random) {
+        this(store, random, RetryDelays.STANDARD);
+    }
+
+    /** Creates a table store; it makes no call yet. */
+    public TableStore(KeyValueStore store, RandomGenerator random, RetryDelays delays) {
         this.store = store;
         this.random = random;
+        this.delays = delays;
     }
 
     /** Reads the newest table; empty if none was ever accepted. Chunks that were read before are not read again. */
@@ -216,7 +219,7 @@
     /** Starts over after a failure; what the failed calls changed shows in the next inventory. */
     private Mono<Either<TableStoreError, ApplyResult>> again(Attempt attempt, KeyValueError error) {
         boolean repeatable = error.isTransient() || error instanceof KeyValueError.Conflict;
-        if (!repeatable || attempt.number() >= ATTEMPT_LIMIT) {
+        if (!repeatable || attempt.number() >= delays.attemptLimit()) {
             return left(attempt.failure(error));
         }
         return Mono.delay(delay(attempt.number())).then(Mono.defer(() -> attempt(attempt.next())));
@@ -360,7 +363,7 @@
 
     private <T> Mono<Either<KeyValueError, T>> retry(Supplier<Mono<Either<KeyValueError, T>>> call, int number) {
         return Mono.defer(call).flatMap(result -> {
-            if (result.isRight() || !result.getLeft().isTransient() || number >= ATTEMPT_LIMIT) {
+            if (result.isRight() || !result.getLeft().isTransient() || number >= delays.attemptLimit()) {
                 return Mono.just(result);
             }
             return Mono.delay(delay(number)).then(Mono.defer(() -> retry(call, number + 1)));
@@ -368,9 +371,8 @@
     }
 
     private Duration delay(int number) {
-        long limitMillis = Math.min(DELAY_LIMIT_MILLIS, FIRST_DELAY_MILLIS << number);
         synchronized (random) {
-            return Duration.ofMillis(limitMillis / 2 + random.nextLong(limitMillis / 2 + 1));
+            return delays.after(number, random);
         }
     }
 
--- a/transport/src/test/java/org/heatherreach/transport/kv/HttpKeyValueStoreTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/kv/HttpKeyValueStoreTest.java
@@ -136,7 +136,7 @@
     @Example
     void silentWatchIsGivenUp() throws InterruptedException {
         try (StoreServer server = new StoreServer(new StoreSettings("127.0.0.1", 0, 0, 300, 2000, 3_600_000));
-                HttpKeyValueStore store = client(server, 5000)) {
+                HttpKeyValueStore store = client(server, 5000, 300)) {
             LinkedBlockingQueue<Either<KeyValueError, WatchEvent>> events = new LinkedBlockingQueue<>();
             Disposable watch = store.watch(KeyRange.of("a"), 0).subscribe(events::add);
             assertThat(events.poll(10, TimeUnit.SECONDS).isRight()).isTrue();
@@ -146,10 +146,14 @@
     }
 
     private static HttpKeyValueStore client(StoreServer server, int timeoutMillis) {
+        return client(server, timeoutMillis, 10_000);
+    }
+
+    private static HttpKeyValueStore client(StoreServer server, int timeoutMillis, int idleMillis) {
         return new HttpKeyValueStore(
                 List.of(new InetSocketAddress("127.0.0.1", server.port())),
                 Duration.ofMillis(timeoutMillis),
-                Duration.ofSeconds(3),
+                Duration.ofMillis(idleMillis),
                 new Random(1));
     }
 
--- a/transport/src/test/java/org/heatherreach/transport/kv/TableStoreTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/kv/TableStoreTest.java
@@ -8,29 +8,35 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.stream.IntStream;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import net.jqwik.api.Example;
-import org.heatherreach.protocol.kv.KeyRange;
-import org.heatherreach.protocol.kv.Lease;
-import org.heatherreach.protocol.kv.Operation;
-import org.heatherreach.protocol.kv.RangeResult;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.lifecycle.AfterTry;
 import org.heatherreach.protocol.kv.Transaction;
 import org.heatherreach.protocol.kv.TransactionResult;
-import org.heatherreach.protocol.kv.WatchEvent;
 import org.heatherreach.standins.StoreFaults;
 import org.heatherreach.standins.StoreServer;
 import org.heatherreach.standins.StoreSettings;
+import org.heatherreach.state.id.WorkspaceId;
 import org.heatherreach.state.table.Table;
 import org.heatherreach.state.table.TableColumn;
 import org.heatherreach.state.table.TableRow;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 class TableStoreTest {
+    private static final RetryDelays QUICK = new RetryDelays(8, 1, 10);
+    private static final WorkspaceId WORKSPACE = new WorkspaceId("w0-of-a-site-with-a-rather-long-name");
     private static final String CHUNKS = "/heatherreach/table/chunks/";
 
     private final StoreServer server = new StoreServer(new StoreSettings("127.0.0.1", 0, 0, 5000, 5000, 1000));
@@ -44,27 +50,26 @@
     @Example
     void largeTableIsCommittedAsOne() {
         Table table = table(20_000, 1);
-        TableStore tables = new TableStore(store, new Random(1));
+        TableStore tables = new TableStore(store, new Random(1), QUICK);
         long version = accepted(tables.apply(change("c1", 0, table)).block());
         assertThat(server.keys().stream().filter(key -> key.startsWith(CHUNKS)).count())
                 .isGreaterThan(3);
         assertThat(server.calls("/v3/kv/txn")).isLessThan(10);
         TableSnapshot read =
-                new TableStore(store, new Random(2)).read().block().get().get();
+                new TableStore(store, new Random(2), QUICK).read().block().get().get();
         assertThat(read.version()).isEqualTo(version);
         assertThat(read.table()).isEqualTo(table);
         long before = server.calls("/v3/kv/txn");
         accepted(tables.apply(change("c2", version, table(20_000, 2))).block());
         assertThat(server.calls("/v3/kv/txn") - before).isEqualTo(3);
         assertThat(tables.read().block().get().get().table()).isEqualTo(table(20_000, 2));
-        close();
     }
 
     // Guards against the last writer winning: of two operators one is told the other's table, and neither is lost.
     @Example
     void secondOfTwoOperatorsSeesTheFirst() {
-        TableStore first = new TableStore(store, new Random(1));
-        TableStore second = new TableStore(store, new Random(2));
+        TableStore first = new TableStore(store, new Random(1), QUICK);
+        TableStore second = new TableStore(store, new Random(2), QUICK);
         long base = accepted(first.apply(change("c0", 0, table(1, 1))).block());
         long version = accepted(first.apply(change("c1", base, table(1, 2))).block());
         ApplyResult result =
@@ -74,17 +79,17 @@
         assertThat(current.version()).isEqualTo(version);
         assertThat(current.table()).isEqualTo(table(1, 2));
         assertThat(current.head().author()).isEqualTo("author of c1");
-        close();
     }
 
     // Guards against two operators of whom both or none are told "accepted" when they apply at the same moment.
     @Example
     void oneOfManyConcurrentChangesIsAccepted() {
-        long base = accepted(new TableStore(store, new Random(1))
+        long base = accepted(new TableStore(store, new Random(1), QUICK)
                 .apply(change("c", 0, table(1, 1)))
                 .block());
         List<Either<TableStoreError, ApplyResult>> results = Flux.range(0, 8)
-                .flatMap(i -> new TableStore(store, new Random(i)).apply(change("c" + i, base, table(1, 10 + i))))
+                .flatMap(i ->
+                        new TableStore(store, new Random(i), QUICK).apply(change("c" + i, base, table(1, 10 + i))))
                 .collectList()
                 .block();
         assertThat(results).allMatch(Either::isRight);
@@ -92,14 +97,14 @@
                         .filter(result -> result.get() instanceof ApplyResult.Accepted)
                         .count())
                 .isEqualTo(1);
-        assertThat(new TableStore(store, new Random(1)).history().block().get()).hasSize(2);
-        close();
+        assertThat(new TableStore(store, new Random(1), QUICK).history().block().get())
+                .hasSize(2);
     }
 
     // Guards against a change that is reported as failed or applied twice when a response is lost after the write.
     @Example
     void lostResponseIsResolvedByTheChangeId() {
-        TableStore tables = new TableStore(store, new Random(1));
+        TableStore tables = new TableStore(store, new Random(1), QUICK);
         long version = 0;
         for (int lost = 1; lost <= 3; lost++) {
             server.setFaults(new StoreFaults(StoreFaults.Outage.NONE, 0, lost, false));
@@ -110,31 +115,29 @@
                 .extracting(entry -> entry.head().changeId())
                 .containsExactly("c3", "c2", "c1");
         assertThat(tables.readHead().block().get().get().version()).isEqualTo(version);
-        close();
     }
 
     // Guards against a lost response that is taken for a lost race once the next change has been accepted.
     @Example
     void lostResponseIsResolvedAfterTheNextChange() {
-        TableStore other = new TableStore(store, new Random(2));
+        TableStore other = new TableStore(store, new Random(2), QUICK);
         InterceptedStore intercepted = new InterceptedStore(store);
         intercepted.afterCommit = () -> {
             TableVersion head = other.readHead().block().get().get();
             accepted(other.apply(change("next", head.version(), table(1, 9))).block());
         };
-        long version = accepted(new TableStore(intercepted, new Random(1))
+        long version = accepted(new TableStore(intercepted, new Random(1), QUICK)
                 .apply(change("c1", 0, table(1, 1)))
                 .block());
         List<TableVersion> history = other.history().block().get();
         assertThat(history).extracting(entry -> entry.head().changeId()).containsExactly("next", "c1");
         assertThat(history.get(1).version()).isEqualTo(version);
-        close();
     }
 
     // Guards against a change that is said to be rejected although it may be accepted, or the reverse.
     @Example
     void outageIsReportedTruthfully() {
-        TableStore tables = new TableStore(store, new Random(1));
+        TableStore tables = new TableStore(store, new Random(1), QUICK);
         long version = accepted(tables.apply(change("c1", 0, table(1, 1))).block());
         server.setFaults(new StoreFaults(StoreFaults.Outage.UNAVAILABLE, 0, 0, false));
         assertThat(tables.apply(change("c2", version, table(1, 2))).block().getLeft())
@@ -143,7 +146,7 @@
         assertThat(tables.readHead().block().get().get().version()).isEqualTo(version);
         InterceptedStore intercepted = new InterceptedStore(store);
         intercepted.afterCommit = () -> server.setFaults(new StoreFaults(StoreFaults.Outage.DISCONNECT, 0, 0, false));
-        TableStoreError error = new TableStore(intercepted, new Random(1))
+        TableStoreError error = new TableStore(intercepted, new Random(1), QUICK)
                 .apply(change("c3", version, table(1, 3)))
                 .block()
                 .getLeft();
@@ -153,14 +156,13 @@
         server.setFaults(StoreFaults.NONE);
         accepted(tables.apply(change("c3", version, table(1, 3))).block());
         assertThat(tables.history().block().get()).hasSize(2);
-        close();
     }
 
     // Guards against a collection that removes a chunk to which a change, prepared at the same time, refers.
     @Example
     void collectionNeverBreaksAConcurrentChange() {
-        TableStore tables = new TableStore(store, new Random(1));
-        TableStore collector = new TableStore(store, new Random(2));
+        TableStore tables = new TableStore(store, new Random(1), QUICK);
+        TableStore collector = new TableStore(store, new Random(2), QUICK);
         long version = 0;
         for (int i = 0; i <= TableStore.HISTORY_LIMIT + 1; i++) {
             version = accepted(
@@ -171,24 +173,23 @@
         List<Integer> removed = new ArrayList<>();
         intercepted.beforeCommit =
                 () -> removed.add(collector.collectGarbage().block().get());
-        accepted(new TableStore(intercepted, new Random(3))
+        accepted(new TableStore(intercepted, new Random(3), QUICK)
                 .apply(change("again", version, table(1, 1)))
                 .block());
         assertThat(removed.get(0)).isGreaterThan(0);
-        assertThat(new TableStore(store, new Random(4))
+        assertThat(new TableStore(store, new Random(4), QUICK)
                         .read()
                         .block()
                         .get()
                         .get()
                         .table())
                 .isEqualTo(table(1, 1));
-        close();
     }
 
     // Guards against chunks that pile up, and against a history with entries that can't be read any more.
     @Example
     void collectionKeepsExactlyTheHistory() {
-        TableStore tables = new TableStore(store, new Random(1));
+        TableStore tables = new TableStore(store, new Random(1), QUICK);
         long version = 0;
         for (int i = 0; i < TableStore.HISTORY_LIMIT + 10; i++) {
             version = accepted(
@@ -201,15 +202,71 @@
         history.forEach(entry -> entry.head().chunks().forEach(hash -> used.add(CHUNKS + hash)));
         assertThat(server.keys().stream().filter(key -> key.startsWith(CHUNKS)))
                 .containsExactlyInAnyOrderElementsOf(used);
-        assertThat(new TableStore(store, new Random(2))
+        assertThat(new TableStore(store, new Random(2), QUICK)
                         .read(history.get(history.size() - 1))
                         .block()
                         .isRight())
                 .isTrue();
-        close();
     }
 
-    private void close() {
+    // Guards against changes that are lost, applied twice or reported wrongly while operators, lost responses and the
+    // collection of chunks interfere: each operator raises one cell a number of times, and every step has to count
+    // once.
+    @Property(seed = "21", tries = 3)
+    void operatorsUnderFaultsCountEveryChangeOnce(@ForAll long seed) throws Exception {
+        // Each try needs a store of its own; the instance of the test class is shared by all tries.
+        TableStoreTest site = new TableStoreTest();
+        accepted(new TableStore(site.store, new Random(seed), QUICK)
+                .apply(change("first", 0, table(1, 1)))
+                .block());
+        int operators = 4;
+        int raises = 5;
+        ExecutorService threads = Executors.newFixedThreadPool(operators);
+        List<Future<?>> running = new ArrayList<>();
+        for (int i = 0; i < operators; i++) {
+            TableStore tables = new TableStore(new UnreliableStore(site.store, seed + i), new Random(seed + i), QUICK);
+            String name = "operator" + i;
+            running.add(threads.submit(() -> raise(tables, name, raises)));
+        }
+        for (Future<?> operator : running) {
+            operator.get();
+        }
+        threads.shutdown();
+        TableStore tables = new TableStore(site.store, new Random(seed), QUICK);
+        assertThat(tables.read().block().get().get().table()).isEqualTo(table(1, 1 + operators * raises));
+        List<TableVersion> history = tables.history().block().get();
+        assertThat(history).hasSize(1 + operators * raises);
+        for (int i = 0; i + 1 < history.size(); i++) {
+            assertThat(history.get(i).head().baseVersion())
+                    .isEqualTo(history.get(i + 1).version());
+        }
+        site.close();
+    }
+
+    private static void raise(TableStore tables, String name, int raises) {
+        int done = 0;
+        for (int attempt = 0; done < raises && attempt < 1000; attempt++) {
+            Either<TableStoreError, Option<TableSnapshot>> read = tables.read().block();
+            if (read.isLeft()) {
+                continue;
+            }
+            TableSnapshot current = read.get().get();
+            int weight = current.table().workspace(WORKSPACE).get().weight();
+            TableChange change = change(name + "-" + attempt, current.version(), table(1, weight + 1));
+            Either<TableStoreError, ApplyResult> result = tables.apply(change).block();
+            while (result.isLeft() && result.getLeft() instanceof TableStoreError.Undetermined) {
+                result = tables.apply(change).block();
+            }
+            if (result.isRight() && result.get() instanceof ApplyResult.Accepted) {
+                done++;
+                tables.collectGarbage().block();
+            }
+        }
+        assertThat(done).isEqualTo(raises);
+    }
+
+    @AfterTry
+    void close() {
         store.close();
         server.close();
     }
@@ -248,25 +305,24 @@
     }
 
     /** Runs a step once before or after the transaction that sets the head; after it, the response is lost. */
-    private static final class InterceptedStore implements KeyValueStore {
-        private final KeyValueStore store;
+    private static final class InterceptedStore extends DelegatingStore {
         private Runnable beforeCommit;
         private Runnable afterCommit;
 
         InterceptedStore(KeyValueStore store) {
-            this.store = store;
+            super(store);
         }
 
         @Override
         public Mono<Either<KeyValueError, TransactionResult>> transact(Transaction transaction) {
             if (transaction.conditions().isEmpty()) {
-                return store.transact(transaction);
+                return super.transact(transaction);
             }
             Runnable before = beforeCommit;
             Runnable after = afterCommit;
             beforeCommit = null;
             afterCommit = null;
-            Mono<Either<KeyValueError, TransactionResult>> call = store.transact(transaction);
+            Mono<Either<KeyValueError, TransactionResult>> call = super.transact(transaction);
             if (before != null) {
                 call = blocking(before).then(call);
             }
@@ -278,42 +334,30 @@
         }
 
         private static Mono<Void> blocking(Runnable step) {
-            return Mono.<Void>fromRunnable(step).subscribeOn(reactor.core.scheduler.Schedulers.boundedElastic());
-        }
-
-        @Override
-        public Mono<Either<KeyValueError, RangeResult>> range(KeyRange range, boolean keysOnly) {
-            return store.range(range, keysOnly);
-        }
-
-        @Override
-        public Mono<Either<KeyValueError, Long>> put(Operation.Put put) {
-            return store.put(put);
-        }
-
-        @Override
-        public Mono<Either<KeyValueError, Long>> delete(KeyRange range) {
-            return store.delete(range);
-        }
-
-        @Override
-        public Mono<Either<KeyValueError, Lease>> grantLease(long ttlSeconds) {
-            return store.grantLease(ttlSeconds);
+            return Mono.<Void>fromRunnable(step).subscribeOn(Schedulers.boundedElastic());
         }
+    }
 
-        @Override
-        public Mono<Either<KeyValueError, Lease>> keepAlive(long leaseId) {
-            return store.keepAlive(leaseId);
-        }
+    /** Fails a share of the transactions before they take effect and loses the response of another share. */
+    private static final class UnreliableStore extends DelegatingStore {
+        private final Random random;
 
-        @Override
-        public Mono<Either<KeyValueError, Long>> revokeLease(long leaseId) {
-            return store.revokeLease(leaseId);
+        UnreliableStore(KeyValueStore store, long seed) {
+            super(store);
+            random = new Random(seed);
         }
 
         @Override
-        public Flux<Either<KeyValueError, WatchEvent>> watch(KeyRange range, long startRevision) {
-            return store.watch(range, startRevision);
+        public Mono<Either<KeyValueError, TransactionResult>> transact(Transaction transaction) {
+            int draw = random.nextInt(10);
+            if (draw == 0) {
+                return Mono.just(Either.left(new KeyValueError.Unavailable("not sent")));
+            }
+            if (draw <= 3 && transaction.writes()) {
+                return super.transact(transaction)
+                        .thenReturn(Either.left(new KeyValueError.UnknownEffect("response lost")));
+            }
+            return super.transact(transaction);
         }
     }
 }
