Ask before a keyed request is dispatched and resolve keys that can't be forwarded

The request path took the decision on a key before the request had its slot, so an intent would have been sent for requests that wait. It now prepares the attempt when the slot is assigned, and asks for the outcome when forwarding fails.

A caller whose deadline passed while its key was undecided was told 'not-run: slow-caller' although an earlier request with the key may have run; it is now told 'unknown'. Refusals before the records are consulted say 'unknown' for the same reason. An attempt is finished even if its decision arrives after the answer.

--- a/coordination/src/main/java/org/heatherreach/coordination/once/ExecutionRecords.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/once/ExecutionRecords.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.TreeMap;
 
 import org.heatherreach.state.id.IncarnationId;
@@ -233,6 +234,13 @@
         return actions;
     }
 
+    /** Returns why a key of this executor has no answer, if it was refused, barred or lost and is not forgotten. */
+    public Optional<RefusalReason> reason(ExecutionKey key) {
+        Record record = records.get(key.sequence());
+        boolean ended = record != null && !record.phase.isOpen() && record.key.equals(key);
+        return ended ? Optional.ofNullable(record.reason) : Optional.empty();
+    }
+
     /** Returns the number of records. */
     public int size() {
         return records.size();
--- a/transport/src/main/java/org/heatherreach/transport/http/Answer.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/Answer.java
@@ -6,6 +6,15 @@
 
 /** How the request path answers a caller. Implementations are not modified after creation. */
 sealed interface Answer {
+    /**
+     * Returns what is known about a key whose request is refused before its records are consulted. An earlier request
+     * with the key may have run, unless this one is malformed and so differs from any that could.
+     */
+    static Outcome outcomeOfKey(RefusalReason reason) {
+        boolean malformed = reason.statusCode() == 400 || reason == RefusalReason.BODY_TOO_LARGE;
+        return malformed ? reason.outcome() : Outcome.UNKNOWN;
+    }
+
     /**
      * The daemon answers itself.
      *
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -44,6 +44,8 @@
     private static final AtomicLong TICKETS = new AtomicLong();
     private static final LongHashFunction HASH = LongHashFunction.xx3();
 
+    private static final KeyedOutcome NOT_STARTED = new KeyedOutcome.NotRun(RefusalReason.DEADLINE_PASSED);
+
     private enum Phase {
         READING,
         QUEUED,
@@ -65,6 +67,12 @@
     private final Set<ServerId> tried = new HashSet<>();
     private final AtomicBoolean keyOpen = new AtomicBoolean();
     private long fingerprint;
+    private volatile KeyedRequest keyedRequest;
+    /** Whether nothing is known yet about earlier requests with the same key; they may have run. */
+    private volatile boolean keyUndecided;
+
+    private long keyTicket;
+    private boolean keyPrepared;
     private volatile boolean earlierAttemptMayHaveRun;
     private volatile BackendAttempt attempt;
     private volatile long queuedTicket;
@@ -91,6 +99,7 @@
         this.outbound = Objects.requireNonNull(outbound, "outbound");
         this.channel = Objects.requireNonNull(channel, "channel");
         this.guard = channel.pipeline().get(CallerGuard.class);
+        this.keyUndecided = request.key().isDefined();
     }
 
     /** Answers the request. */
@@ -100,7 +109,8 @@
         guard.listenForBodyFault(this::failBody);
         Mono<Answer> work = Mono.firstWithSignal(
                         readBody().flatMap(this::decide).onErrorResume(this::refuseFault), interruption.asMono())
-                .doOnNext(this::finishKey);
+                .doOnNext(this::finishKey)
+                .doOnError(error -> finishKey(new KeyedOutcome.Unknown(RefusalReason.SERVER_LOST)));
         Mono<Answer> answer = request.key().isDefined() ? detached(work) : work;
         return answer.onErrorResume(error -> onLoop(Mono.defer(() -> {
                     resetCaller();
@@ -177,14 +187,26 @@
         if (parts.keyed().isEmpty()) {
             return refuse(RefusalReason.INVALID_KEY, 0);
         }
-        KeyedRequest keyed = new KeyedRequest(
+        keyedRequest = new KeyedRequest(
                 request.key().get(),
                 request.service(),
                 requestHash,
                 request.deadlineNanos(),
                 request.parameters().forwardedBy().isDefined());
-        return Mono.<KeyedDecision>create(sink ->
-                        parts.keyed().get().begin(keyed, decision -> onLoop(() -> sink.success(decision))))
+        return Mono.<KeyedDecision>create(sink -> parts.keyed()
+                        .get()
+                        .begin(
+                                keyedRequest,
+                                decision -> onLoop(() -> {
+                                    if (decision instanceof KeyedDecision.Admit admission
+                                            && phase.get() == Phase.ENDED) {
+                                        // The answer was given at the deadline, and nobody takes this decision any
+                                        // more.
+                                        parts.keyed().get().finish(admission.ticket(), NOT_STARTED);
+                                    } else {
+                                        sink.success(decision);
+                                    }
+                                })))
                 .flatMap(decision -> follow(decision, body));
     }
 
@@ -193,12 +215,14 @@
     }
 
     private Mono<Answer> follow(KeyedDecision decision, RequestBody body) {
-        if (decision instanceof KeyedDecision.Dispatch) {
+        if (decision instanceof KeyedDecision.Admit admission) {
+            keyTicket = admission.ticket();
             keyOpen.set(true);
+            keyUndecided = false;
             executed = true;
             if (callerGone || phase.get() == Phase.ENDED) {
                 // Nobody waits for the answer and nothing was sent, so the caller may safely repeat the request.
-                finishKey(new Answer.Refusal(RefusalReason.DEADLINE_PASSED, Outcome.NOT_RUN, 0));
+                finishKey(NOT_STARTED);
                 return Mono.never();
             }
             return refusesCrash() ? refuse(RefusalReason.CRASH_SUSPECT, 0) : schedule(body);
@@ -208,7 +232,7 @@
             return Mono.just(replayed(replay.response()));
         }
         if (decision instanceof KeyedDecision.Refuse refusal) {
-            return refuse(refusal.reason(), refusal.retryAfterMillis());
+            return Mono.just(new Answer.Refusal(refusal.reason(), refusal.outcome(), 0));
         }
         return forward((KeyedDecision.Forward) decision, body);
     }
@@ -237,7 +261,17 @@
                 this::stream);
         return attempt.run(clients.client(decision.executor(), parts.limits().connections()))
                 .flatMap(this::claim)
-                .onErrorResume(BackendFailure.class, failure -> refuse(RefusalReason.EXECUTOR_UNREACHABLE, 0));
+                .onErrorResume(
+                        BackendFailure.class,
+                        failure -> this.<Answer>onLoop(Mono.defer(() -> {
+                            if (phase.get() == Phase.RELAYING || phase.get() == Phase.ENDED) {
+                                return Mono.error(failure);
+                            }
+                            return Mono.<KeyedDecision>create(sink -> parts.keyed()
+                                            .get()
+                                            .resolve(keyedRequest, found -> onLoop(() -> sink.success(found))))
+                                    .flatMap(found -> follow(found, body));
+                        })));
     }
 
     private Mono<Answer> schedule(RequestBody body) {
@@ -273,7 +307,31 @@
                     if (decision instanceof ScheduleDecision.Refuse refusal) {
                         return refuse(refusal.reason(), refusal.retryAfterMillis());
                     }
-                    return dispatch(((ScheduleDecision.Dispatch) decision).server(), ticket, body);
+                    BackendServer server = ((ScheduleDecision.Dispatch) decision).server();
+                    return executed && !keyPrepared ? prepare(server, ticket, body) : dispatch(server, ticket, body);
+                });
+    }
+
+    private Mono<Answer> prepare(BackendServer server, long ticket, RequestBody body) {
+        // Until it is dispatched, an interruption frees the slot by a cancellation.
+        queuedTicket = ticket;
+        return Mono.<KeyedDecision>create(sink -> parts.keyed()
+                        .get()
+                        .prepare(
+                                keyTicket,
+                                decision -> onLoop(() -> {
+                                    if (queuedTicket == ticket) {
+                                        queuedTicket = 0;
+                                        sink.success(decision);
+                                    }
+                                })))
+                .flatMap(decision -> {
+                    if (decision instanceof KeyedDecision.Refuse refusal) {
+                        parts.scheduler().cancel(ticket);
+                        return Mono.just(new Answer.Refusal(refusal.reason(), refusal.outcome(), 0));
+                    }
+                    keyPrepared = true;
+                    return dispatch(server, ticket, body);
                 });
     }
 
@@ -392,12 +450,12 @@
         if (keyOpen.compareAndSet(true, false)) {
             RecordedResponse response = new RecordedResponse(
                     statusCode, contentType(headers), recorder.bytes(), complete && !recorder.isCut());
-            parts.keyed().get().finish(request.key().get(), new KeyedOutcome.Answered(response));
+            parts.keyed().get().finish(keyTicket, new KeyedOutcome.Answered(response));
         }
     }
 
     private void finishKey(Answer answer) {
-        if (answer instanceof Answer.Streamed || !keyOpen.compareAndSet(true, false)) {
+        if (answer instanceof Answer.Streamed || !keyOpen.get()) {
             return;
         }
         KeyedOutcome outcome;
@@ -412,7 +470,13 @@
             outcome = new KeyedOutcome.Answered(
                     new RecordedResponse(whole.statusCode(), contentType(whole.headers()), recorded, !cut));
         }
-        parts.keyed().get().finish(request.key().get(), outcome);
+        finishKey(outcome);
+    }
+
+    private void finishKey(KeyedOutcome outcome) {
+        if (keyOpen.compareAndSet(true, false)) {
+            parts.keyed().get().finish(keyTicket, outcome);
+        }
     }
 
     private static String contentType(HttpHeaders headers) {
@@ -427,7 +491,8 @@
     private Answer.Refusal refusal(RefusalReason reason, long retryAfterMillis) {
         BackendAttempt last = attempt;
         boolean mayHaveRun = earlierAttemptMayHaveRun || (last != null && last.mayHaveRun());
-        return new Answer.Refusal(reason, mayHaveRun ? Outcome.UNKNOWN : reason.outcome(), retryAfterMillis);
+        Outcome known = keyUndecided ? Answer.outcomeOfKey(reason) : reason.outcome();
+        return new Answer.Refusal(reason, mayHaveRun ? Outcome.UNKNOWN : known, retryAfterMillis);
     }
 
     private Mono<Answer> refuseFault(Throwable error) {
@@ -508,6 +573,11 @@
         if (!enter(Phase.ENDED)) {
             return;
         }
+        if (keyedRequest != null && keyUndecided) {
+            boolean forwarded = before == Phase.RUNNING;
+            interrupt(forwarded ? RefusalReason.EXECUTOR_UNREACHABLE : RefusalReason.KEY_RUNNING, FailureKind.STALLED);
+            return;
+        }
         switch (before) {
             case READING -> interrupt(RefusalReason.SLOW_CALLER, FailureKind.CANCELLED);
             case QUEUED -> interrupt(RefusalReason.DEADLINE_PASSED, FailureKind.CANCELLED);
--- a/transport/src/main/java/org/heatherreach/transport/http/KeyedDecision.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/KeyedDecision.java
@@ -3,11 +3,19 @@
 import java.net.InetSocketAddress;
 import java.util.Objects;
 
+import org.heatherreach.state.outcome.Outcome;
 import org.heatherreach.state.outcome.RefusalReason;
 
 /** What to do with a request that has an execution key. Implementations are immutable. */
 public sealed interface KeyedDecision {
-    /** This daemon is the executor and may send the request to one server; it then records how that ended. */
+    /**
+     * This daemon is the executor. The request may take a slot or wait for one, and is prepared before it is sent.
+     *
+     * @param ticket identifies the attempt within the process
+     */
+    record Admit(long ticket) implements KeyedDecision {}
+
+    /** The prepared request may be sent to one server now. */
     record Dispatch() implements KeyedDecision {}
 
     /**
@@ -25,13 +33,20 @@
     /**
      * The request is answered with a refusal.
      *
-     * @param reason the reason, which carries what is known about the execution
-     * @param retryAfterMillis when a repetition may succeed; 0 if unknown
+     * @param reason the reason
+     * @param outcome what is known about the execution of the key; an earlier request with it may have run although
+     *     this one did not
      */
-    record Refuse(RefusalReason reason, long retryAfterMillis) implements KeyedDecision {
+    record Refuse(RefusalReason reason, Outcome outcome) implements KeyedDecision {
         /** Creates a decision. */
         public Refuse {
             Objects.requireNonNull(reason, "reason");
+            Objects.requireNonNull(outcome, "outcome");
+        }
+
+        /** Creates a decision whose reason tells what is known about the key. */
+        public Refuse(RefusalReason reason) {
+            this(reason, reason.outcome());
         }
     }
 
--- a/transport/src/main/java/org/heatherreach/transport/http/KeyedExecution.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/KeyedExecution.java
@@ -3,19 +3,35 @@
 import java.util.function.Consumer;
 
 /**
- * Guards requests that must run at most once. Every method may be called by any thread and returns at once.
+ * Guards requests that must run at most once. Every method may be called by any thread and returns at once. A callback
+ * is called exactly once, from any thread, and does not block.
  *
- * <p>After a {@link KeyedDecision.Dispatch} the request path calls {@link #finish} exactly once; it sends the request
- * to a second server only if the first provably did not run it.
+ * <p>After a {@link KeyedDecision.Admit} the request path calls {@link #prepare} when the request has its slot, and
+ * sends the request only after a {@link KeyedDecision.Dispatch}. In every case it calls {@link #finish} exactly once per
+ * ticket. It sends the request to a second server only if the first provably did not run it.
  */
 public interface KeyedExecution {
     /**
      * Asks what to do with a request.
      *
-     * @param callback receives the decision exactly once, from any thread, and does not block
+     * @param callback receives {@code Admit}, {@code Replay}, {@code Refuse} or {@code Forward}
      */
     void begin(KeyedRequest request, Consumer<KeyedDecision> callback);
 
-    /** Records how a dispatched request ended. */
-    void finish(String key, KeyedOutcome outcome);
+    /**
+     * Asks whether an admitted request that has its slot may be sent.
+     *
+     * @param callback receives {@code Dispatch} or {@code Refuse}
+     */
+    void prepare(long ticket, Consumer<KeyedDecision> callback);
+
+    /**
+     * Finds the outcome of a request that could not be forwarded, or whose forwarding has no answer.
+     *
+     * @param callback receives {@code Replay} or {@code Refuse}
+     */
+    void resolve(KeyedRequest request, Consumer<KeyedDecision> callback);
+
+    /** Records how an admitted request ended. */
+    void finish(long ticket, KeyedOutcome outcome);
 }
--- a/transport/src/main/java/org/heatherreach/transport/http/KeyedOutcome.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/KeyedOutcome.java
@@ -4,7 +4,7 @@
 
 import org.heatherreach.state.outcome.RefusalReason;
 
-/** How a dispatched request with an execution key ended. Implementations are immutable. */
+/** How an admitted request with an execution key ended. Implementations are immutable. */
 public sealed interface KeyedOutcome {
     /**
      * A server answered.
--- a/transport/src/main/java/org/heatherreach/transport/http/ProxyHandler.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/ProxyHandler.java
@@ -126,7 +126,8 @@
             guard.closeAfterResponse();
         }
         RequestId requestId = parts.requestIds().get();
-        Answer.Refusal refusal = new Answer.Refusal(reason, reason.outcome(), 0);
+        boolean keyed = headers.contains(CallHeaders.KEY);
+        Answer.Refusal refusal = new Answer.Refusal(reason, keyed ? Answer.outcomeOfKey(reason) : reason.outcome(), 0);
         boolean closing = parts.gate().isDraining() || reason == RefusalReason.SHUTTING_DOWN;
         return Mono.from(RefusalWriter.write(response, refusal, requestId, closing));
     }
