--- a/bench/src/main/java/org/heatherreach/bench/BenchMain.java
+++ b/bench/src/main/java/org/heatherreach/bench/BenchMain.java
@@ -7,17 +7,20 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import org.heatherreach.bench.capacity.ProcessCostBenchmark;
+import org.heatherreach.bench.capacity.TableCostBenchmark;
 import org.heatherreach.bench.detection.DetectionBenchmark;
 import org.heatherreach.bench.slot.Floods;
 
 /** Entry point of {@code bench}. Confined to the main thread. */
 public final class BenchMain {
-    private static final List<Benchmark> BENCHMARKS = List.of(new Floods(), new DetectionBenchmark());
+    private static final List<Benchmark> BENCHMARKS =
+            List.of(new Floods(), new DetectionBenchmark(), new TableCostBenchmark(), new ProcessCostBenchmark());
 
     @Parameter(names = "--seed", description = "Seed of every random choice")
     private long seed = 1;
 
-    @Parameter(names = "--only", description = "Names of the benchmarks to run; all by default")
+    @Parameter(description = "Names of the benchmarks to run; all by default")
     private List<String> only = new ArrayList<>();
 
     @Parameter(names = "--out", description = "Directory for results.json and summary.txt")
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/FleetDaemon.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/FleetDaemon.java
@@ -23,6 +23,7 @@
 import org.heatherreach.coordination.member.MemberList;
 import org.heatherreach.coordination.member.MemberSettings;
 import org.heatherreach.coordination.member.MemberState;
+import org.heatherreach.coordination.once.OnceLimits;
 import org.heatherreach.coordination.owner.OwnerMap;
 import org.heatherreach.coordination.table.TableSpread;
 import org.heatherreach.daemon.DaemonParts;
@@ -32,6 +33,7 @@
 import org.heatherreach.daemon.SettingsCatalog;
 import org.heatherreach.state.id.IncarnationId;
 import org.heatherreach.state.id.ServiceId;
+import org.heatherreach.transport.http.Endpoint;
 import org.heatherreach.transport.http.ExchangeObserver;
 import org.heatherreach.transport.http.LocalScheduler;
 import org.heatherreach.transport.http.RequestScheduler;
@@ -66,6 +68,7 @@
     private final PacketSocket socket;
     private final MemberDuty memberDuty;
     private final TableDuty tableDuty;
+    private final RecordDuty recordDuty;
     private final Option<VmList> vmList;
     private final HttpDaemon http;
 
@@ -115,10 +118,17 @@
                         .toList())));
         directory.addListener(tableDuty);
         memberDuty.addBeaconListener(tableDuty);
+        recordDuty = new RecordDuty(directory, links, OnceLimits.standard(), random.split(), registry);
+        memberDuty.addActivityListener(recordDuty::extendActivity);
         FrameRouter router = new FrameRouter(registry);
         tableDuty.register(router);
-        vmList = fleet.vmList().map(address -> new VmList(address, servers, memberDuty::changeListed, registry));
+        recordDuty.register(router);
+        vmList = fleet.vmList()
+                .map(address ->
+                        new VmList(address, servers, fleet.peerAddress().port(), memberDuty::changeListed, registry));
         FleetStatus status = new FleetStatus(directory, catalog, tableDuty, gate);
+        Map<String, Endpoint> endpoints = new HashMap<>(recordDuty.endpoints());
+        endpoints.put("GET /heatherreach/status", (argument, body) -> Mono.fromSupplier(status::answer));
         DaemonParts parts = new DaemonParts(
                 registry,
                 gate,
@@ -126,16 +136,17 @@
                 catalog,
                 scheduler,
                 port -> new MemberAddressBook(directory, gate),
-                Option.none(),
+                Option.some(recordDuty),
                 ExchangeObserver.NONE,
                 (service, fingerprint) -> false,
-                Map.of("GET /heatherreach/status", (argument, body) -> Mono.fromSupplier(status::answer)));
+                endpoints);
         links.bind(fleet.peerAddress().host(), fleet.peerAddress().port(), router);
         socket.bind(fleet.peerAddress().host(), fleet.peerAddress().port(), memberDuty);
         servers.publish(serversOf(settings));
         vmList.forEach(VmList::start);
         tableDuty.start();
         tableDuty.changeMember(self, directory.view());
+        recordDuty.start();
         memberDuty.start();
         http = new HttpDaemon(settings, parts);
         LOG.infof(
@@ -149,6 +160,7 @@
         http.shutDown();
         await(memberDuty.announceLeft());
         vmList.forEach(VmList::close);
+        recordDuty.close();
         tableDuty.close();
         memberDuty.close();
         links.close();
