--- a/protocol/src/main/java/org/heatherreach/protocol/peer/SlotCodec.java
+++ b/protocol/src/main/java/org/heatherreach/protocol/peer/SlotCodec.java
@@ -76,6 +76,7 @@
                 .setReportNumber(grant.reportNumber())
                 .setSequence(grant.sequence())
                 .addAllRankCaps(grant.rankCaps())
+                .setIdleTarget(grant.idleTarget())
                 .build();
     }
 
@@ -90,7 +91,8 @@
                         wire.getValidMs(),
                         wire.getReportNumber(),
                         wire.getSequence(),
-                        wire.getRankCapsList()));
+                        wire.getRankCapsList(),
+                        wire.getIdleTarget()));
     }
 
     /** Converts a recall to its wire form. */
--- a/protocol/src/test/java/org/heatherreach/protocol/peer/PeerCodecTest.java
+++ b/protocol/src/test/java/org/heatherreach/protocol/peer/PeerCodecTest.java
@@ -41,7 +41,8 @@
                 List.of(new RankDemand(Rank.BULK, 5, 6, 7.5)),
                 8,
                 9);
-        SlotGrant grant = new SlotGrant(SERVICE, 3, List.of(new SlotLease(SERVER, 2)), 2000, 8, 10, List.of(4, 5, 6));
+        SlotGrant grant =
+                new SlotGrant(SERVICE, 3, List.of(new SlotLease(SERVER, 2)), 2000, 8, 10, List.of(4, 5, 6), 7);
         SlotRecall recall = new SlotRecall(SERVICE, 3, List.of(new SlotLease(SERVER, 0)), 11);
         assertThat(SlotCodec.decode(SlotCodec.encode(report))).isEqualTo(report);
         assertThat(SlotCodec.decode(SlotCodec.encode(grant))).isEqualTo(grant);
