--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/ScheduleDuty.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/ScheduleDuty.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -84,6 +83,7 @@
     private final RandomGenerator random;
     private final RetryHint hint;
     private final DutyRing<Event> ring;
+    private final FleetChanges changes;
     private final PartOwners owners;
     private final Map<ServiceId, ScheduledService> services = new HashMap<>();
     private final Map<ServiceId, SuspectList> suspects = new HashMap<>();
@@ -98,10 +98,7 @@
     private final Counter queuedDispatches;
     private final Counter localDispatches;
     private final Counter strayMessages;
-    private volatile Table newestTable;
     private volatile int ownedParts;
-    private Table table;
-    private Map<ServiceId, List<ListedServer>> listed = Map.of();
     private boolean closing;
 
     /**
@@ -126,7 +123,8 @@
         this.sender = new PeerSender(members, links, registry);
         this.random = Objects.requireNonNull(random, "random");
         this.hint = new RetryHint(random);
-        this.owners = new PartOwners(members.self());
+        this.changes = new FleetChanges(members, servers);
+        this.owners = changes.owners();
         this.ring = new DutyRing<>("schedule", ringCapacity, this::handle, this::tick, TICK_NANOS, registry);
         leasedDispatches = registry.counter("heatherreach.slots.dispatched", "slot", "leased");
         queuedDispatches = registry.counter("heatherreach.slots.dispatched", "slot", "queued");
@@ -191,7 +189,7 @@
 
     /** Puts a table in force. */
     public void changeTable(Table newTable) {
-        newestTable = Objects.requireNonNull(newTable, "newTable");
+        changes.changeTable(newTable);
         wantRefresh();
     }
 
@@ -288,7 +286,8 @@
 
     private boolean isOverLimit(WorkspaceId workspace) {
         // Counted over all services, because the limit is that of the workspace at this daemon.
-        return table.workspace(workspace)
+        return changes.table()
+                .workspace(workspace)
                 .exists(limits -> heldByWorkspace.getOrDefault(workspace, 0) >= limits.requestLimit());
     }
 
@@ -375,7 +374,7 @@
         } else {
             queuedDispatches.increment();
         }
-        BackendServer server = service.server(dispatch.server());
+        BackendServer server = service.listed().find(dispatch.server()).server();
         if (!decide(entry.submission, new ScheduleDecision.Dispatch(server))) {
             // Nobody will complete the submission, so its slot would stay in use.
             ring.offerAlways(new Cancelled(entry.submission.ticket()));
@@ -469,25 +468,7 @@
     }
 
     private void collectChanges() {
-        Table nextTable = newestTable;
-        Map<ServiceId, List<ListedServer>> nextListed = servers.servers();
-        if (owners.update(members.view()) || nextTable != table) {
-            dirty.addAll(services.keySet());
-            dirty.addAll(nextListed.keySet());
-            if (nextTable != null) {
-                dirty.addAll(nextTable.services());
-            }
-        } else if (nextListed != listed) {
-            Set<ServiceId> named = new HashSet<>(listed.keySet());
-            named.addAll(nextListed.keySet());
-            for (ServiceId service : named) {
-                if (!Objects.equals(listed.get(service), nextListed.get(service))) {
-                    dirty.add(service);
-                }
-            }
-        }
-        table = nextTable;
-        listed = nextListed;
+        changes.collect(services.keySet(), dirty);
         for (ServiceId service : List.copyOf(changedShares)) {
             changedShares.remove(service);
             dirty.add(service);
@@ -495,7 +476,7 @@
     }
 
     private void refreshService(ServiceId id, long nowNanos) {
-        ServiceLimits limits = table == null ? null : table.service(id).getOrElse((ServiceLimits) null);
+        ServiceLimits limits = changes.limits(id).getOrNull();
         if (limits == null) {
             ScheduledService removed = services.remove(id);
             if (removed != null) {
@@ -506,9 +487,10 @@
         ScheduledService service = services.computeIfAbsent(id, key -> new ScheduledService());
         Map<Rank, RankLimits> rankLimits = new EnumMap<>(Rank.class);
         for (Rank rank : Rank.values()) {
-            rankLimits.put(rank, table.rank(id, rank));
+            rankLimits.put(rank, changes.table().rank(id, rank));
         }
-        int count = service.updateServers(listed.getOrDefault(id, List.of()));
+        service.listed().update(changes.listed(id));
+        int count = service.listed().partCount();
         List<ScheduledPart> surplus = new ArrayList<>();
         while (service.parts().size() > count) {
             surplus.add(service.parts().remove(service.parts().size() - 1));
@@ -534,7 +516,7 @@
             Map<ServerId, Integer> shares,
             long nowNanos) {
         List<SlotServer> all = new ArrayList<>();
-        for (ListedServer entry : service.serversOf(part.id().part())) {
+        for (ListedServer entry : service.listed().serversOf(part.id().part())) {
             BackendServer server = entry.server();
             int sharePercent = entry.leaving() ? 0 : shares.getOrDefault(server.id(), 100);
             all.add(new SlotServer(server.id(), server.zone(), sharePercent));
--- /dev/null
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/ServerProber.java
@@ -0,0 +1,59 @@
+package org.heatherreach.daemon.fleet;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.function.Consumer;
+
+import io.netty.channel.ChannelOption;
+import org.heatherreach.protocol.http.CallHeaders;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+import reactor.netty.resources.ConnectionProvider;
+import reactor.netty.resources.LoopResources;
+
+/** Asks backend servers for their health, each time on a new connection. Safe for use by any thread. */
+final class ServerProber implements AutoCloseable {
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
+    private static final int SUCCESS_CLASS = 2;
+    private static final int CLASS_DIVISOR = 100;
+
+    private final LoopResources loops = LoopResources.create("probe", 1, true);
+    private final HttpClient client = HttpClient.create(ConnectionProvider.newConnection())
+            .runOn(loops)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) TIMEOUT.toMillis())
+            .responseTimeout(TIMEOUT)
+            // A second try inside the client would hide what the first one showed.
+            .disableRetry(true);
+
+    /**
+     * What a probe showed.
+     *
+     * @param healthy whether the answer came in time with a status of success
+     * @param draining whether the answer states that the server is draining
+     */
+    record Result(boolean healthy, boolean draining) {}
+
+    /** Probes a server; the callback runs exactly once, on an event loop. */
+    void probe(InetSocketAddress address, Consumer<Result> callback) {
+        client.remoteAddress(() -> address)
+                .get()
+                .uri("/health")
+                .response()
+                .timeout(TIMEOUT)
+                .map(ServerProber::read)
+                .onErrorReturn(new Result(false, false))
+                .defaultIfEmpty(new Result(false, false))
+                .subscribe(callback);
+    }
+
+    private static Result read(HttpClientResponse response) {
+        return new Result(
+                response.status().code() / CLASS_DIVISOR == SUCCESS_CLASS,
+                "true".equals(response.responseHeaders().get(CallHeaders.BACKEND_DRAINING)));
+    }
+
+    @Override
+    public void close() {
+        loops.dispose();
+    }
+}
--- a/protocol/src/main/java/org/heatherreach/protocol/http/CallHeaders.java
+++ b/protocol/src/main/java/org/heatherreach/protocol/http/CallHeaders.java
@@ -24,6 +24,8 @@
     public static final String REPLAYED = "Heatherreach-Replayed";
     /** Set to {@code true} by a backend server that refuses a request without running it. */
     public static final String BACKEND_SHED = "Backend-Shed";
+    /** Set to {@code true} by a backend server that is leaving and wants no new work. */
+    public static final String BACKEND_DRAINING = "Backend-Draining";
     /** The prefix of every header that daemons interpret or set. */
     public static final String PREFIX = "heatherreach-";
     /** The path prefix of a daemon's own endpoints. */
--- a/transport/src/main/java/org/heatherreach/transport/http/BackendAttempt.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/BackendAttempt.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -27,7 +26,7 @@
 /**
  * One exchange with a server or with another daemon.
  *
- * <p>Invariants: {@code onEnd} is called exactly once; the connection returns to the pool only if the request was
+ * <p>Invariants: {@link Listener#end} is called exactly once; the connection returns to the pool only if the request was
  * written completely and the response was read completely, without a byte left over.
  *
  * <p>Thread safety: created by the caller's event loop; its callbacks run on the event loop of the connection.
@@ -43,7 +42,7 @@
     private final ProxyLimits limits;
     private final String forwardedBy;
     private final long startNanos;
-    private final Consumer<ExchangeResult> onEnd;
+    private final Listener listener;
     private final Relay relay;
     private final AtomicBoolean ended = new AtomicBoolean();
     private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.NEW);
@@ -61,6 +60,16 @@
         ABANDONED
     }
 
+    /** Observes the exchange; called on the event loop of the connection. */
+    @FunctionalInterface
+    interface Listener {
+        /** The head of the answer arrived. */
+        default void answer(HttpHeaders headers) {}
+
+        /** The exchange ended. */
+        void end(ExchangeResult result);
+    }
+
     /** Streams a response to the caller while it arrives. */
     @FunctionalInterface
     interface Relay {
@@ -72,7 +81,7 @@
      * Creates an attempt.
      *
      * @param forwardedBy the incarnation of this daemon if the attempt forwards to another daemon, else empty
-     * @param onEnd told how the exchange ended
+     * @param listener told when the head of the answer arrives and how the exchange ended
      * @param relay streams responses that are too large to be read completely first
      */
     BackendAttempt(
@@ -81,14 +90,14 @@
             ProxyLimits limits,
             String forwardedBy,
             long nowNanos,
-            Consumer<ExchangeResult> onEnd,
+            Listener listener,
             Relay relay) {
         this.request = Objects.requireNonNull(request, "request");
         this.body = Objects.requireNonNull(body, "body");
         this.limits = Objects.requireNonNull(limits, "limits");
         this.forwardedBy = Objects.requireNonNull(forwardedBy, "forwardedBy");
         this.startNanos = nowNanos;
-        this.onEnd = Objects.requireNonNull(onEnd, "onEnd");
+        this.listener = Objects.requireNonNull(listener, "listener");
         this.relay = Objects.requireNonNull(relay, "relay");
     }
 
@@ -170,6 +179,7 @@
 
     private Publisher<Answer> read(HttpClientResponse response, Connection connection) {
         headNanos = System.nanoTime();
+        listener.answer(response.responseHeaders());
         statusCode = response.status().code();
         HttpHeaders headers = new DefaultHttpHeaders();
         HopHeaders.copy(response.responseHeaders(), headers, forwardedBy.isEmpty() ? CallHeaders.PREFIX : "");
@@ -290,7 +300,7 @@
             Outcome outcome = kind.isAnswered() && kind != FailureKind.SHED
                     ? Outcome.BACKEND
                     : mayHaveRun() ? Outcome.UNKNOWN : Outcome.NOT_RUN;
-            onEnd.accept(new ExchangeResult(outcome, endNanos - startNanos, kind));
+            listener.end(new ExchangeResult(outcome, endNanos - startNanos, kind));
         }
     }
 }
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -292,9 +292,17 @@
                 parts.limits(),
                 "",
                 nowNanos,
-                result -> {
-                    parts.scheduler().complete(ticket, result);
-                    parts.observer().ended(request.service(), server.id(), fingerprint, result, System.nanoTime());
+                new BackendAttempt.Listener() {
+                    @Override
+                    public void answer(HttpHeaders headers) {
+                        observeHead(server, headers);
+                    }
+
+                    @Override
+                    public void end(ExchangeResult result) {
+                        parts.scheduler().complete(ticket, result);
+                        parts.observer().ended(request.service(), server.id(), fingerprint, result, System.nanoTime());
+                    }
                 },
                 this::stream);
         attempt = current;
@@ -309,6 +317,15 @@
         });
     }
 
+    private void observeHead(BackendServer server, HttpHeaders headers) {
+        if (!"true".equals(headers.get(CallHeaders.BACKEND_SHED))) {
+            parts.observer().answered(request.service(), server.id(), fingerprint, System.nanoTime());
+        }
+        if ("true".equals(headers.get(CallHeaders.BACKEND_DRAINING))) {
+            parts.observer().draining(request.service(), server.id());
+        }
+    }
+
     private Mono<Answer> afterFailure(
             BackendServer server, BackendAttempt failed, RequestBody body, BackendFailure failure) {
         if (phase.get() == Phase.RELAYING || phase.get() == Phase.ENDED) {
--- a/transport/src/main/java/org/heatherreach/transport/http/ExchangeObserver.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/ExchangeObserver.java
@@ -20,6 +20,12 @@
     /** A request is about to be sent to a server. */
     void dispatched(ServiceId service, ServerId server, long fingerprint, long nowNanos);
 
+    /** The head of an answer arrived that is not a load-shedding answer; its body may take long to follow. */
+    default void answered(ServiceId service, ServerId server, long fingerprint, long nowNanos) {}
+
+    /** The server stated in an answer that it is draining. */
+    default void draining(ServiceId service, ServerId server) {}
+
     /**
      * The exchange ended. {@link FailureKind#TRUNCATED} means that the connection broke while the request was in flight,
      * which is the evidence for a crash.
