--- a/bench/src/main/java/org/heatherreach/bench/BenchMain.java
+++ b/bench/src/main/java/org/heatherreach/bench/BenchMain.java
@@ -10,7 +10,7 @@
 
 /** Entry point of {@code bench}. Confined to the main thread. */
 public final class BenchMain {
-    private static final List<Benchmark> BENCHMARKS = List.of();
+    private static final List<Benchmark> BENCHMARKS = List.of(new LatencyBenchmark());
 
     @Parameter(names = "--seed", description = "Seed of every random choice")
     private long seed = 1;
--- a/daemon/src/main/java/org/heatherreach/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/DaemonSettings.java
@@ -21,6 +21,7 @@
  * @param region its region
  * @param mode the product or the baseline of comparisons
  * @param listen the address for callers
+ * @param advertise the address given to callers; port 0 stands for the port that was bound
  * @param ioThreads the number of event loops
  * @param scheduleRing the capacity of the ring of the schedule duty
  * @param seed the seed of random choices; 0 draws one
@@ -39,6 +40,7 @@
         RegionId region,
         ProxyMode mode,
         InetSocketAddress listen,
+        InetSocketAddress advertise,
         int ioThreads,
         int scheduleRing,
         long seed,
@@ -57,6 +59,7 @@
         Objects.requireNonNull(region, "region");
         Objects.requireNonNull(mode, "mode");
         Objects.requireNonNull(listen, "listen");
+        Objects.requireNonNull(advertise, "advertise");
         Objects.requireNonNull(limits, "limits");
         Objects.requireNonNull(logFormat, "logFormat");
         Objects.requireNonNull(logLevel, "logLevel");
--- a/daemon/src/main/java/org/heatherreach/daemon/HttpDaemon.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/HttpDaemon.java
@@ -98,8 +98,9 @@
                 (argument, body) ->
                         Mono.just(EndpointAnswer.json(200, addressAnswer.text(System.currentTimeMillis()))));
         this.server = new CallerServer(settings.listen(), settings.ioThreads(), parts, endpoints);
-        String host = settings.listen().getAddress().getHostAddress();
-        DaemonAddress own = new DaemonAddress(settings.daemon(), host, server.port(), settings.zone());
+        String host = settings.advertise().getAddress().getHostAddress();
+        int port = settings.advertise().getPort() != 0 ? settings.advertise().getPort() : server.port();
+        DaemonAddress own = new DaemonAddress(settings.daemon(), host, port, settings.zone());
         addressAnswer.use(new SettingsAddressBook(settings.addresses(), own, gate));
         LOG.infof("Daemon %s serves on %s:%d in mode %s", settings.daemon(), host, port(), settings.mode());
     }
--- a/daemon/src/main/java/org/heatherreach/daemon/SettingsCatalog.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/SettingsCatalog.java
@@ -47,7 +47,7 @@
     @Override
     public RankLimits rankLimits(ServiceId service, Rank rank) {
         return Option.of(services.get(service))
-                .map(settings -> settings.ranks().get(rank))
+                .flatMap(settings -> Option.of(settings.ranks().get(rank)))
                 .getOrElse(() -> new RankLimits(rank, 1, 0, DEFAULT_QUEUE_LIMIT, DEFAULT_TIMEOUT_MILLIS));
     }
 }
--- a/daemon/src/main/java/org/heatherreach/daemon/SettingsFile.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/SettingsFile.java
@@ -93,6 +93,8 @@
         SectionReader listen = section("listen");
         InetSocketAddress address =
                 listen.require("address", new InetSocketAddress(0), AddressParser.ADDRESS_FORM, AddressParser::address);
+        InetSocketAddress advertise =
+                listen.read("advertise", address, AddressParser.ADDRESS_FORM, AddressParser::address);
         int processors = Runtime.getRuntime().availableProcessors();
         int ioThreads = listen.integer("io_threads", Math.max(2, Math.min(4, processors)), 1, 64);
 
@@ -117,6 +119,7 @@
                 region,
                 mode,
                 address,
+                advertise,
                 ioThreads,
                 scheduleRing,
                 seed,
--- a/protocol/src/main/java/org/heatherreach/protocol/http/CallParameters.java
+++ b/protocol/src/main/java/org/heatherreach/protocol/http/CallParameters.java
@@ -85,6 +85,13 @@
                 requestId.get().map(RequestId::new)));
     }
 
+    /** Returns the id that the sender chose; empty if there is none or it is malformed. */
+    public static Option<RequestId> requestId(HeaderSource headers) {
+        return single(headers, CallHeaders.REQUEST_ID, NAME, RefusalReason.BAD_REQUEST)
+                .getOrElse(Option.none())
+                .map(RequestId::new);
+    }
+
     private static Either<RefusalReason, Rank> parseRank(HeaderSource headers) {
         List<String> values = headers.values(CallHeaders.RANK);
         if (values.isEmpty()) {
--- /dev/null
+++ b/transport/src/test/java/org/heatherreach/transport/http/KeyedRequestsTest.java
@@ -0,0 +1,179 @@
+package org.heatherreach.transport.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import net.jqwik.api.Example;
+import org.heatherreach.state.outcome.RefusalReason;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class KeyedRequestsTest {
+    private static final byte[] HELLO = "hello".getBytes(StandardCharsets.US_ASCII);
+    private static final String KEY = "Heatherreach-Key: k1";
+
+    private static final class FakeExecution implements KeyedExecution {
+        private final Function<KeyedRequest, KeyedDecision> decide;
+        private final List<KeyedRequest> begun = new ArrayList<>();
+        private final ConcurrentLinkedQueue<KeyedOutcome> outcomes = new ConcurrentLinkedQueue<>();
+
+        private FakeExecution(Function<KeyedRequest, KeyedDecision> decide) {
+            this.decide = decide;
+        }
+
+        @Override
+        public synchronized void begin(KeyedRequest request, Consumer<KeyedDecision> callback) {
+            begun.add(request);
+            // Another thread, as the real part answers from its duty.
+            new Thread(() -> callback.accept(decide.apply(request))).start();
+        }
+
+        @Override
+        public void finish(String key, KeyedOutcome outcome) {
+            outcomes.add(outcome);
+        }
+
+        private KeyedOutcome only() {
+            ProxyFixture.await(() -> !outcomes.isEmpty());
+            assertThat(outcomes).hasSize(1);
+            return outcomes.peek();
+        }
+    }
+
+    private static ProxyFixture fixture(KeyedExecution keyed, ScriptedBackend.Script script) throws Exception {
+        return new ProxyFixture().backend(script).start(parts -> ProxyFixture.withKeyed(parts, keyed));
+    }
+
+    // Guards against a record that differs from what the caller saw, and against a fingerprint that misses the body.
+    @Example
+    void recordsTheResponseAndBindsTheBody() throws Exception {
+        FakeExecution keyed = new FakeExecution(request -> new KeyedDecision.Dispatch());
+        byte[] large = new byte[200_000];
+        try (ProxyFixture fixture = fixture(keyed, call -> {
+                    call.respond(201, "Content-Type: text/x\r\n", call.body().length == 1 ? large : HELLO);
+                    return true;
+                });
+                RawCaller caller = fixture.caller()) {
+            assertThat(caller.post("/", HELLO, KEY).text()).isEqualTo("hello");
+            KeyedOutcome.Answered answered = (KeyedOutcome.Answered) keyed.only();
+            assertThat(answered.response().statusCode()).isEqualTo(201);
+            assertThat(answered.response().contentType()).isEqualTo("text/x");
+            assertThat(answered.response().body()).isEqualTo(HELLO);
+            assertThat(answered.response().complete()).isTrue();
+            keyed.outcomes.clear();
+            assertThat(caller.post("/", new byte[1], KEY).body()).isEqualTo(large);
+            KeyedOutcome.Answered cut = (KeyedOutcome.Answered) keyed.only();
+            assertThat(cut.response().body()).hasSize(ProxyLimits.RECORDED_BYTES);
+            assertThat(cut.response().complete()).isFalse();
+            assertThat(keyed.begun.get(0).fingerprint())
+                    .isNotEqualTo(keyed.begun.get(1).fingerprint());
+        }
+    }
+
+    // Guards against a second run of a request whose response is recorded, or that must not run.
+    @Example
+    void replaysAndRefusesWithoutDispatch() throws Exception {
+        List<KeyedDecision> decisions = new ArrayList<>(List.of(
+                new KeyedDecision.Replay(new RecordedResponse(201, "text/x", HELLO, true)),
+                new KeyedDecision.Refuse(RefusalReason.KEY_RUNNING, 2000),
+                new KeyedDecision.Refuse(RefusalReason.KEY_BARRED, 0)));
+        FakeExecution keyed = new FakeExecution(request -> decisions.remove(0));
+        try (ProxyFixture fixture = fixture(keyed, call -> {
+                    call.respond(200, "", HELLO);
+                    return true;
+                });
+                RawCaller caller = fixture.caller()) {
+            RawCaller.Response replay = caller.post("/", HELLO, KEY);
+            assertThat(replay.status()).isEqualTo(201);
+            assertThat(replay.text()).isEqualTo("hello");
+            assertThat(replay.outcome()).isEqualTo("backend");
+            assertThat(replay.headers()).containsEntry("heatherreach-replayed", "complete");
+            RawCaller.Response running = caller.post("/", HELLO, KEY);
+            assertThat(running.outcome()).isEqualTo("unknown");
+            assertThat(running.headers()).containsEntry("retry-after", "2");
+            assertThat(caller.post("/", HELLO, KEY).outcome()).isEqualTo("not-run");
+            assertThat(fixture.backends.get(0).requests).hasValue(0);
+            assertThat(keyed.outcomes).isEmpty();
+        }
+    }
+
+    // Guards against a keyed request that is sent a second time after it may have run, even with a safe method.
+    @Example
+    void recordsUnknownAndNeverRepeatsAfterALoss() throws Exception {
+        FakeExecution keyed = new FakeExecution(request -> new KeyedDecision.Dispatch());
+        try (ProxyFixture fixture = fixture(keyed, call -> {
+                    if (call.headers().containsKey("heatherreach-key")) {
+                        call.reset();
+                        return false;
+                    }
+                    call.respond(200, "", HELLO);
+                    return true;
+                });
+                RawCaller caller = fixture.caller()) {
+            for (int i = 0; i < 30; i++) {
+                caller.get("/");
+            }
+            RawCaller.Response response = caller.get("/", KEY);
+            assertThat(response.outcome()).isEqualTo("unknown");
+            assertThat(keyed.only()).isEqualTo(new KeyedOutcome.Unknown(RefusalReason.SERVER_LOST));
+            assertThat(fixture.backends.get(0).requests).hasValue(31);
+        }
+    }
+
+    // Guards against an outcome that is lost because the caller left before it was known.
+    @Example
+    void finishesAndRecordsAfterTheCallerLeft() throws Exception {
+        CountDownLatch arrived = new CountDownLatch(1);
+        CountDownLatch left = new CountDownLatch(1);
+        FakeExecution keyed = new FakeExecution(request -> new KeyedDecision.Dispatch());
+        try (ProxyFixture fixture = fixture(keyed, call -> {
+            arrived.countDown();
+            left.await();
+            call.respond(200, "", HELLO);
+            return true;
+        })) {
+            RawCaller caller = fixture.caller();
+            caller.send("POST / HTTP/1.1\r\nHost: x\r\n" + KEY + "\r\nContent-Length: 1\r\n\r\nx");
+            arrived.await();
+            caller.close();
+            ProxyFixture.await(() -> fixture.count("heatherreach.caller.disconnects") == 1);
+            left.countDown();
+            KeyedOutcome.Answered answered = (KeyedOutcome.Answered) keyed.only();
+            assertThat(answered.response().body()).isEqualTo(HELLO);
+        }
+    }
+
+    // Guards against a forwarded request that loses its answer, its key or its outcome, or that is forwarded for ever.
+    @Example
+    void forwardsToTheExecutorOnce() throws Exception {
+        FakeExecution executor = new FakeExecution(request -> new KeyedDecision.Dispatch());
+        try (ProxyFixture second = fixture(executor, call -> {
+            call.respond(200, "", call.body());
+            return true;
+        })) {
+            FakeExecution entry = new FakeExecution(
+                    request -> new KeyedDecision.Forward(new java.net.InetSocketAddress("127.0.0.1", second.port())));
+            try (ProxyFixture first = fixture(entry, call -> false);
+                    RawCaller caller = first.caller()) {
+                RawCaller.Response response = caller.post("/", HELLO, KEY);
+                assertThat(response.text()).isEqualTo("hello");
+                assertThat(response.outcome()).isEqualTo("backend");
+                assertThat(executor.begun.get(0).forwarded()).isTrue();
+                assertThat(executor.begun.get(0).key()).isEqualTo("k1");
+                assertThat(first.backends.get(0).requests).hasValue(0);
+                RawCaller.Response again = caller.post("/", HELLO, KEY, "Heatherreach-Forwarded: ab");
+                assertThat(again.reason()).isEqualTo("executor-unreachable");
+                assertThat(again.outcome()).isEqualTo("unknown");
+                second.gate.setIsolated(true);
+                RawCaller.Response refused = caller.post("/", HELLO, KEY);
+                assertThat(refused.outcome()).isEqualTo("not-run");
+                assertThat(refused.reason()).isEqualTo("isolated");
+            }
+        }
+    }
+}
