--- a/bench/src/main/java/org/heatherreach/bench/BenchMain.java
+++ b/bench/src/main/java/org/heatherreach/bench/BenchMain.java
@@ -14,8 +14,12 @@
 
 /** Entry point of {@code bench}. Confined to the main thread. */
 public final class BenchMain {
-    private static final List<Benchmark> BENCHMARKS =
-            List.of(new Floods(), new DetectionBenchmark(), new TableCostBenchmark(), new ProcessCostBenchmark());
+    private static final List<Benchmark> BENCHMARKS = List.of(
+            new Floods(),
+            new DetectionBenchmark(),
+            new TableCostBenchmark(),
+            new ProcessCostBenchmark(),
+            new LatencyBenchmark());
 
     @Parameter(names = "--seed", description = "Seed of every random choice")
     private long seed = 1;
--- a/daemon/src/main/java/org/heatherreach/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/DaemonMain.java
@@ -90,6 +90,11 @@
         if (settings.fleet().isEmpty()) {
             return new HttpDaemon(settings, StandaloneParts.of(settings))::shutDown;
         }
-        return new FleetDaemon(settings, settings.fleet().get())::shutDown;
+        return new FleetDaemon(settings, settings.fleet().get(), DaemonMain::exit)::shutDown;
+    }
+
+    /** Ends the process through its shutdown hook, without blocking the event loop that asks for it. */
+    private static void exit() {
+        new Thread(() -> System.exit(0), "drain").start();
     }
 }
--- a/daemon/src/main/java/org/heatherreach/daemon/StandaloneParts.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/StandaloneParts.java
@@ -1,5 +1,6 @@
 package org.heatherreach.daemon;
 
+import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Random;
 import java.util.SplittableRandom;
@@ -9,6 +10,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vavr.control.Option;
 import org.heatherreach.state.id.IncarnationId;
+import org.heatherreach.transport.http.AddressBook;
 import org.heatherreach.transport.http.DaemonAddress;
 import org.heatherreach.transport.http.ExchangeObserver;
 import org.heatherreach.transport.http.LocalScheduler;
@@ -18,15 +20,15 @@
 import org.heatherreach.transport.http.ServingGate;
 
 /** Makes the parts of a daemon that works by its settings alone, without peers. Stateless. */
-final class StandaloneParts {
+public final class StandaloneParts {
     private StandaloneParts() {}
 
-    static DaemonParts of(DaemonSettings settings) {
+    /** Returns the parts for the given settings. */
+    public static DaemonParts of(DaemonSettings settings) {
         ServingGate gate = new ServingGate();
         SettingsCatalog catalog = new SettingsCatalog(settings);
         RequestScheduler scheduler = scheduler(settings, catalog);
         settings.services().forEach((service, entry) -> scheduler.changeServers(service, entry.servers()));
-        String host = settings.listen().getAddress().getHostAddress();
         return new DaemonParts(
                 new PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
                 gate,
@@ -41,14 +43,22 @@
                 Map.of());
     }
 
-    static RequestScheduler scheduler(DaemonSettings settings, SettingsCatalog catalog) {
+    private static AddressBook addressBook(DaemonSettings settings, ServingGate gate, int boundPort) {
+        InetSocketAddress advertised = settings.advertise();
+        int port = advertised.getPort() != 0 ? advertised.getPort() : boundPort;
+        DaemonAddress own =
+                new DaemonAddress(settings.daemon(), advertised.getAddress().getHostAddress(), port, settings.zone());
+        return new SettingsAddressBook(settings.addresses(), own, gate);
+    }
+
+    private static RequestScheduler scheduler(DaemonSettings settings, SettingsCatalog catalog) {
         long seed = seedOf(settings);
         return settings.mode() == ProxyMode.NAIVE
                 ? new NaiveScheduler(new Random(seed))
                 : new LocalScheduler(catalog, new SplittableRandom(seed), settings.scheduleRing());
     }
 
-    static long seedOf(DaemonSettings settings) {
+    private static long seedOf(DaemonSettings settings) {
         return settings.seed() != 0
                 ? settings.seed()
                 : ThreadLocalRandom.current().nextLong();
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/FleetDaemon.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/FleetDaemon.java
@@ -30,13 +30,9 @@
 import org.heatherreach.daemon.DaemonSettings;
 import org.heatherreach.daemon.FleetSettings;
 import org.heatherreach.daemon.HttpDaemon;
-import org.heatherreach.daemon.SettingsCatalog;
 import org.heatherreach.state.id.IncarnationId;
 import org.heatherreach.state.id.ServiceId;
 import org.heatherreach.transport.http.Endpoint;
-import org.heatherreach.transport.http.ExchangeObserver;
-import org.heatherreach.transport.http.LocalScheduler;
-import org.heatherreach.transport.http.RequestScheduler;
 import org.heatherreach.transport.http.ServingGate;
 import org.heatherreach.transport.kv.HttpKeyValueStore;
 import org.heatherreach.transport.kv.TableStore;
@@ -44,7 +40,6 @@
 import org.heatherreach.transport.peer.PeerCounters;
 import org.heatherreach.transport.peer.PeerLinks;
 import org.jboss.logging.Logger;
-import reactor.core.publisher.Mono;
 
 /**
  * One daemon of a fleet: the request path and the duties that decide together with its peers.
@@ -69,15 +64,18 @@
     private final MemberDuty memberDuty;
     private final TableDuty tableDuty;
     private final RecordDuty recordDuty;
+    private final ScheduleDuty scheduleDuty;
+    private final HealthDuty healthDuty;
     private final Option<VmList> vmList;
     private final HttpDaemon http;
 
     /**
      * Starts a daemon.
      *
+     * @param drain starts the planned stop of this process when an operator asks for it
      * @throws RuntimeException if an address can't be bound
      */
-    public FleetDaemon(DaemonSettings settings, FleetSettings fleet) {
+    public FleetDaemon(DaemonSettings settings, FleetSettings fleet, Runnable drain) {
         Objects.requireNonNull(settings, "settings");
         Objects.requireNonNull(fleet, "fleet");
         long seed = settings.seed() != 0
@@ -107,15 +105,13 @@
                 gate,
                 memberDuty::advertise,
                 registry);
-        TableCatalog catalog = new TableCatalog(new SettingsCatalog(settings));
+        TableCatalog catalog = new TableCatalog();
+        scheduleDuty = new ScheduleDuty(directory, servers, links, random.split(), settings.scheduleRing(), registry);
+        healthDuty = new HealthDuty(
+                directory, servers, links, scheduleDuty, random.split(), settings.scheduleRing(), registry);
         tableDuty.addListener(catalog);
-        RequestScheduler scheduler = new LocalScheduler(catalog, random.split(), settings.scheduleRing());
-        servers.addListener(listed -> listed.forEach((service, list) -> scheduler.changeServers(
-                service,
-                list.stream()
-                        .filter(entry -> !entry.leaving())
-                        .map(ListedServer::server)
-                        .toList())));
+        tableDuty.addListener(table -> scheduleDuty.changeTable(table.table()));
+        tableDuty.addListener(table -> healthDuty.changeTable(table.table()));
         directory.addListener(tableDuty);
         memberDuty.addBeaconListener(tableDuty);
         recordDuty = new RecordDuty(directory, links, OnceLimits.standard(), random.split(), registry);
@@ -123,22 +119,24 @@
         FrameRouter router = new FrameRouter(registry);
         tableDuty.register(router);
         recordDuty.register(router);
+        scheduleDuty.register(router);
+        healthDuty.register(router);
         vmList = fleet.vmList()
                 .map(address ->
                         new VmList(address, servers, fleet.peerAddress().port(), memberDuty::changeListed, registry));
         FleetStatus status = new FleetStatus(directory, catalog, tableDuty, gate);
         Map<String, Endpoint> endpoints = new HashMap<>(recordDuty.endpoints());
-        endpoints.put("GET /heatherreach/status", (argument, body) -> Mono.fromSupplier(status::answer));
+        endpoints.putAll(new OperatorEndpoints(self.daemon(), healthDuty, status, drain).byPath());
         DaemonParts parts = new DaemonParts(
                 registry,
                 gate,
                 self.incarnation(),
                 catalog,
-                scheduler,
+                scheduleDuty,
                 port -> new MemberAddressBook(directory, gate),
                 Option.some(recordDuty),
-                ExchangeObserver.NONE,
-                (service, fingerprint) -> false,
+                healthDuty,
+                healthDuty,
                 endpoints);
         links.bind(fleet.peerAddress().host(), fleet.peerAddress().port(), router);
         socket.bind(fleet.peerAddress().host(), fleet.peerAddress().port(), memberDuty);
@@ -146,6 +144,8 @@
         vmList.forEach(VmList::start);
         tableDuty.start();
         tableDuty.changeMember(self, directory.view());
+        scheduleDuty.start();
+        healthDuty.start();
         recordDuty.start();
         memberDuty.start();
         http = new HttpDaemon(settings, parts);
@@ -160,6 +160,7 @@
         http.shutDown();
         await(memberDuty.announceLeft());
         vmList.forEach(VmList::close);
+        healthDuty.close();
         recordDuty.close();
         tableDuty.close();
         memberDuty.close();
--- /dev/null
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/OperatorEndpoints.java
@@ -0,0 +1,85 @@
+package org.heatherreach.daemon.fleet;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.heatherreach.state.id.DaemonId;
+import org.heatherreach.state.outcome.RefusalReason;
+import org.heatherreach.transport.http.Endpoint;
+import org.heatherreach.transport.http.EndpointAnswer;
+import reactor.core.publisher.Mono;
+
+/** The endpoints that the operators' tool asks. Safe for use by any thread. */
+final class OperatorEndpoints {
+    private static final int ACCEPTED = 202;
+    private static final int NOT_FOUND = 404;
+
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final DaemonId daemon;
+    private final HealthDuty healthDuty;
+    private final FleetStatus status;
+    private final Runnable drain;
+    private final AtomicBoolean draining = new AtomicBoolean();
+
+    /**
+     * Creates endpoints.
+     *
+     * @param drain starts the planned stop of this process; called at most once
+     */
+    OperatorEndpoints(DaemonId daemon, HealthDuty healthDuty, FleetStatus status, Runnable drain) {
+        this.daemon = Objects.requireNonNull(daemon, "daemon");
+        this.healthDuty = Objects.requireNonNull(healthDuty, "healthDuty");
+        this.status = Objects.requireNonNull(status, "status");
+        this.drain = Objects.requireNonNull(drain, "drain");
+    }
+
+    /** Returns the endpoints by method, a space and the path. */
+    Map<String, Endpoint> byPath() {
+        return Map.of(
+                "GET /heatherreach/status", (argument, body) -> Mono.fromSupplier(status::answer),
+                "GET /heatherreach/servers", (argument, body) -> Mono.fromSupplier(this::listServers),
+                "GET /heatherreach/explain/", (argument, body) -> Mono.fromSupplier(() -> explain(argument)),
+                "POST /heatherreach/drain", (argument, body) -> Mono.fromSupplier(this::startDrain));
+    }
+
+    private EndpointAnswer listServers() {
+        ObjectNode answer = mapper.createObjectNode().put("daemon", daemon.value());
+        ArrayNode servers = answer.putArray("servers");
+        healthDuty.status().forEach(server -> servers.add(mapper.valueToTree(server)));
+        return EndpointAnswer.json(200, answer + "\n");
+    }
+
+    private EndpointAnswer explain(String id) {
+        for (RefusalReason reason : RefusalReason.values()) {
+            if (reason.label().equals(id)) {
+                ObjectNode answer = mapper.createObjectNode()
+                        .put("reason", id)
+                        .put("outcome", reason.outcome().label())
+                        .put("status", reason.statusCode())
+                        .put("transient", reason.isTransient());
+                return EndpointAnswer.json(200, answer + "\n");
+            }
+        }
+        List<ServerStatus> found = healthDuty.status().stream()
+                .filter(server -> server.server().equals(id))
+                .toList();
+        if (found.isEmpty()) {
+            return EndpointAnswer.json(NOT_FOUND, "{\"error\":\"neither a server nor a refusal reason\"}\n");
+        }
+        ObjectNode answer = mapper.createObjectNode().put("daemon", daemon.value());
+        found.forEach(server -> answer.withArray("servers").add(mapper.valueToTree(server)));
+        return EndpointAnswer.json(200, answer + "\n");
+    }
+
+    private EndpointAnswer startDrain() {
+        if (draining.compareAndSet(false, true)) {
+            drain.run();
+        }
+        return EndpointAnswer.json(ACCEPTED, "{\"state\":\"leaving\"}\n");
+    }
+}
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/TableCatalog.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/TableCatalog.java
@@ -1,7 +1,5 @@
 package org.heatherreach.daemon.fleet;
 
-import java.util.Objects;
-
 import io.vavr.control.Option;
 import org.heatherreach.state.id.ServiceId;
 import org.heatherreach.state.rank.Rank;
@@ -10,18 +8,14 @@
 import org.heatherreach.transport.http.ServiceCatalog;
 
 /**
- * Routes and limits of the table in force. Until the first table arrives, the settings apply.
+ * Routes and limits of the table in force. Until the first table arrives, there is no service.
  *
  * <p>Thread safety: safe for use by any thread. A look-up sees one table or the next, never a mixture.
  */
 public final class TableCatalog implements ServiceCatalog, TableListener {
-    private final ServiceCatalog settings;
-    private volatile TableInForce current;
+    private static final RankLimits NO_LIMITS = new RankLimits(Rank.STANDARD, 1, 0, 1, 1);
 
-    /** Creates a catalog that uses the settings until a table arrives. */
-    public TableCatalog(ServiceCatalog settings) {
-        this.settings = Objects.requireNonNull(settings, "settings");
-    }
+    private volatile TableInForce current;
 
     @Override
     public void changeTable(TableInForce table) {
@@ -43,14 +37,12 @@
     @Override
     public Option<ServiceLimits> serviceLimits(ServiceId service) {
         TableInForce table = current;
-        return table == null ? settings.serviceLimits(service) : table.table().service(service);
+        return table == null ? Option.none() : table.table().service(service);
     }
 
     @Override
     public RankLimits rankLimits(ServiceId service, Rank rank) {
         TableInForce table = current;
-        return table == null
-                ? settings.rankLimits(service, rank)
-                : table.table().rank(service, rank);
+        return table == null ? NO_LIMITS : table.table().rank(service, rank);
     }
 }
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -17,6 +17,7 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import net.openhft.hashing.LongHashFunction;
 import org.heatherreach.protocol.http.CallHeaders;
@@ -41,6 +42,9 @@
  * loops; the phase decides races between them, the deadline and faults of the caller.
  */
 final class CallerExchange {
+    /** A running request usually ends within the time that its caller waits; a second keeps retries cheap. */
+    private static final long KEY_RUNNING_RETRY_MILLIS = 1000;
+
     private static final AtomicLong TICKETS = new AtomicLong();
     private static final LongHashFunction HASH = LongHashFunction.xx3();
 
@@ -234,7 +238,8 @@
             return Mono.just(replayed(replay.response()));
         }
         if (decision instanceof KeyedDecision.Refuse refusal) {
-            return Mono.just(new Answer.Refusal(refusal.reason(), refusal.outcome(), 0));
+            long retryAfterMillis = refusal.reason() == RefusalReason.KEY_RUNNING ? KEY_RUNNING_RETRY_MILLIS : 0;
+            return Mono.just(new Answer.Refusal(refusal.reason(), refusal.outcome(), retryAfterMillis));
         }
         return forward((KeyedDecision.Forward) decision, body);
     }
@@ -451,7 +456,10 @@
         progressNanos = System.nanoTime();
         onLoop(this::watchStall);
         outbound.status(statusCode);
-        outbound.headers(headers);
+        outbound.responseHeaders().set(headers);
+        if (!headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            outbound.responseHeaders().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
         addAnswerHeaders(Outcome.BACKEND.label());
         Flux<ByteBuf> observed = body.doOnNext(part -> {
             progressNanos = System.nanoTime();
@@ -544,7 +552,7 @@
         Answer.Whole whole = (Answer.Whole) answer;
         count(Outcome.BACKEND);
         outbound.status(whole.statusCode());
-        outbound.headers(whole.headers());
+        outbound.responseHeaders().set(whole.headers());
         addAnswerHeaders(Outcome.BACKEND.label());
         if (whole.bodyless()) {
             return Mono.from(outbound.send());
