--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/RecordDuty.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/RecordDuty.java
@@ -122,6 +122,7 @@
             var copy = OnceCodec.decode(frame.getOutcomeCopy());
             offer(RecordMeters.Event.OUTCOME_COPY, nowNanos -> {
                 witnessRecords.record(copy, nowNanos);
+                meters.countReceivedCopy();
                 return List.of();
             });
         });
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/RecordMeters.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/RecordMeters.java
@@ -19,6 +19,7 @@
     private final Map<Event, Counter> ringRefusals = new EnumMap<>(Event.class);
     private final Counter issuedKeys;
     private final Counter unsentCopies;
+    private final Counter receivedCopies;
     private final AtomicLong executionRecords = new AtomicLong();
     private final AtomicLong witnessRecords = new AtomicLong();
     private final AtomicLong roomRefusals = new AtomicLong();
@@ -66,6 +67,7 @@
         }
         issuedKeys = registry.counter("heatherreach.once.keys.issued");
         unsentCopies = registry.counter("heatherreach.once.copies.unsent");
+        receivedCopies = registry.counter("heatherreach.once.copies.received");
         registry.gauge("heatherreach.once.execution.records", executionRecords);
         registry.gauge("heatherreach.once.witness.records", witnessRecords);
         registry.gauge("heatherreach.once.refused.for.room", roomRefusals);
@@ -92,6 +94,10 @@
         unsentCopies.increment();
     }
 
+    void countReceivedCopy() {
+        receivedCopies.increment();
+    }
+
     void publish(long executions, long witnessed, long refusedForRoom, long bodiesDropped) {
         executionRecords.set(executions);
         witnessRecords.set(witnessed);
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerServer.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerServer.java
@@ -88,8 +88,10 @@
     /** Stops listening, closes every connection and frees the event loops. */
     @Override
     public void close() {
-        server.disposeNow();
+        // The server's own end waits three seconds for requests in flight and then fails, so they are ended before it.
+        server.channel().close().awaitUninterruptibly();
         channels.close().awaitUninterruptibly();
+        server.disposeNow();
         clients.close();
         loops.disposeLater(Duration.ZERO, Duration.ofSeconds(1)).block();
     }
