--- /dev/null
+++ b/daemon/src/test/java/org/heatherreach/daemon/fleet/RecordProcessTest.java
@@ -0,0 +1,234 @@
+package org.heatherreach.daemon.fleet;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import net.jqwik.api.Example;
+import org.heatherreach.daemon.DaemonMain;
+import org.heatherreach.standins.BackendServer;
+import org.heatherreach.standins.BackendSettings;
+import org.heatherreach.standins.StoreServer;
+import org.heatherreach.standins.StoreSettings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+// Three daemons as processes, of which the executor is stopped and continued by signals.
+class RecordProcessTest {
+    private static final int COUNT = 3;
+    private static final long AWAIT_SECONDS = 40;
+    private static final String HOST = "127.0.0.1";
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final List<Process> processes = new ArrayList<>();
+    private final List<Integer> ports = new ArrayList<>();
+
+    // Guards against a dispatch of what the executor held when it was paused, and against "not run" that comes untrue.
+    @Example
+    void executorThatWakesDispatchesNothingThatItHeld() throws Exception {
+        try (BackendServer backend = new BackendServer(BackendSettings.ofSlots(1));
+                StoreServer store = new StoreServer(StoreSettings.standard())) {
+            startDaemons(backend, store);
+            String held = issueKey();
+            String asked = issueKey();
+            CompletableFuture<HttpResponse<String>> occupant = send(0, null, 300_000);
+            await("the occupant runs", () -> backend.count("run") == 1);
+            CompletableFuture<HttpResponse<String>> heldAnswer = send(0, held, 0);
+            CompletableFuture<HttpResponse<String>> askedAnswer = send(0, asked, 0);
+            // A question for the outcome would bar a key whose request has not arrived yet.
+            await(
+                    "the keyed requests are admitted",
+                    () -> metrics(0).contains("heatherreach_once_execution_records 2"));
+            signal("STOP");
+            await("the executor is forgotten", () -> members(1) == 2 && members(2) == 2);
+            assertRefused(send(1, asked, 0).get(AWAIT_SECONDS, TimeUnit.SECONDS), "not-run", "key-barred");
+            signal("CONT");
+            occupant.cancel(true);
+            assertRefused(heldAnswer.get(AWAIT_SECONDS, TimeUnit.SECONDS), "not-run", "activity-lapsed");
+            assertRefused(askedAnswer.get(AWAIT_SECONDS, TimeUnit.SECONDS), "not-run", "activity-lapsed");
+            assertThat(backend.runs()).isEmpty();
+            await("the executor is back", () -> members(1) == COUNT && members(0) == COUNT);
+            assertThat(send(1, held, 0).get(AWAIT_SECONDS, TimeUnit.SECONDS).statusCode())
+                    .isEqualTo(200);
+            assertRefused(send(0, asked, 0).get(AWAIT_SECONDS, TimeUnit.SECONDS), "not-run", "key-barred");
+            assertThat(backend.runs()).containsOnlyKeys(held).containsEntry(held, 1);
+        } finally {
+            processes.forEach(Process::destroyForcibly);
+        }
+    }
+
+    // Guards against a second run, or "not run", for a key whose executor is paused while the backend works.
+    @Example
+    void executorPausedAfterDispatchStaysUnknownUntilItIsBack() throws Exception {
+        try (BackendServer backend = new BackendServer(BackendSettings.ofSlots(1));
+                StoreServer store = new StoreServer(StoreSettings.standard())) {
+            startDaemons(backend, store);
+            String key = issueKey();
+            CompletableFuture<HttpResponse<String>> first = send(0, key, 1_000);
+            await("the request runs", () -> backend.runs().containsKey(key));
+            signal("STOP");
+            await("the executor is forgotten", () -> members(1) == 2);
+            assertRefused(send(1, key, 1_000).get(AWAIT_SECONDS, TimeUnit.SECONDS), "unknown", "executor-unreachable");
+            assertThat(outcome(1, key)).isEqualTo("unknown");
+            signal("CONT");
+            HttpResponse<String> answer = first.get(AWAIT_SECONDS, TimeUnit.SECONDS);
+            assertThat(answer.statusCode()).isEqualTo(200);
+            await("the outcome is known", () -> outcome(1, key).equals("recorded"));
+            HttpResponse<String> again = send(1, key, 1_000).get(AWAIT_SECONDS, TimeUnit.SECONDS);
+            assertThat(again.body()).isEqualTo(answer.body());
+            assertThat(backend.runs()).containsEntry(key, 1);
+        } finally {
+            processes.forEach(Process::destroyForcibly);
+        }
+    }
+
+    private void startDaemons(BackendServer backend, StoreServer store) throws Exception {
+        Path directory = Files.createTempDirectory("record-process");
+        List<Integer> peerPorts = new ArrayList<>();
+        for (int i = 0; i < COUNT; i++) {
+            ports.add(freePort());
+            peerPorts.add(freePort());
+        }
+        String seeds = String.join(
+                ", ", peerPorts.stream().map(port -> HOST + ':' + port).toList());
+        for (int i = 0; i < COUNT; i++) {
+            Path settings = directory.resolve("d" + i + ".ini");
+            Files.writeString(
+                    settings,
+                    String.join(
+                            "\n",
+                            "[daemon]",
+                            "name = d" + i,
+                            "zone = z" + i,
+                            "[listen]",
+                            "address = " + HOST + ':' + ports.get(i),
+                            "io_threads = 1",
+                            "[peer]",
+                            "address = " + HOST + ':' + peerPorts.get(i),
+                            "seeds = " + seeds,
+                            "[store]",
+                            "endpoints = " + HOST + ':' + store.port(),
+                            "[service:certdesk]",
+                            "slots = 1",
+                            "servers = s1@" + HOST + ':' + backend.port() + "/z0",
+                            ""));
+            String classPath = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+            processes.add(new ProcessBuilder(
+                            Path.of(System.getProperty("java.home"), "bin", "java")
+                                    .toString(),
+                            "-Xmx128m",
+                            "-XX:+UseSerialGC",
+                            "-XX:TieredStopAtLevel=1",
+                            "-cp",
+                            classPath,
+                            DaemonMain.class.getName(),
+                            "--config",
+                            settings.toString())
+                    .redirectErrorStream(true)
+                    .redirectOutput(directory.resolve("d" + i + ".log").toFile())
+                    .start());
+        }
+        await("every daemon knows the others", () -> members(0) == COUNT && members(1) == COUNT && members(2) == COUNT);
+    }
+
+    private String issueKey() throws Exception {
+        HttpResponse<String> answer = client.send(
+                HttpRequest.newBuilder(uri(0, "/heatherreach/keys"))
+                        .POST(HttpRequest.BodyPublishers.ofString("{\"count\":1}"))
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
+        return JSON.readTree(answer.body()).get("keys").get(0).asText();
+    }
+
+    private CompletableFuture<HttpResponse<String>> send(int daemon, String key, int serviceMillis) {
+        HttpRequest.Builder request = HttpRequest.newBuilder(uri(daemon, "/releases"))
+                .header("Heatherreach-Service", "certdesk")
+                .header("Heatherreach-Timeout-Ms", "120000")
+                .header("Standin-Service-Ms", Integer.toString(serviceMillis))
+                .POST(HttpRequest.BodyPublishers.ofString("batch 7"));
+        if (key != null) {
+            request.header("Heatherreach-Key", key);
+        }
+        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private String outcome(int daemon, String key) throws Exception {
+        return get(daemon, "/heatherreach/outcome/" + key).get("outcome").asText();
+    }
+
+    private int members(int daemon) throws Exception {
+        return get(daemon, "/heatherreach/status").get("members").size();
+    }
+
+    private String metrics(int daemon) throws Exception {
+        return client.send(
+                        HttpRequest.newBuilder(uri(daemon, "/heatherreach/metrics"))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString())
+                .body();
+    }
+
+    private JsonNode get(int daemon, String path) throws Exception {
+        return JSON.readTree(
+                client.send(HttpRequest.newBuilder(uri(daemon, path)).build(), HttpResponse.BodyHandlers.ofString())
+                        .body());
+    }
+
+    private URI uri(int daemon, String path) {
+        return URI.create("http://" + HOST + ':' + ports.get(daemon) + path);
+    }
+
+    /** Sends a signal to the executor, which is the first daemon. */
+    private void signal(String signal) throws Exception {
+        new ProcessBuilder("kill", "-" + signal, Long.toString(processes.get(0).pid()))
+                .start()
+                .waitFor();
+    }
+
+    private interface Condition {
+        boolean holds() throws Exception;
+    }
+
+    private static void await(String what, Condition condition) throws Exception {
+        long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(AWAIT_SECONDS);
+        while (true) {
+            try {
+                if (condition.holds()) {
+                    return;
+                }
+            } catch (IOException e) {
+                // The daemon doesn't listen yet.
+            }
+            if (System.nanoTime() - deadlineNanos > 0) {
+                throw new AssertionError("waited in vain until " + what);
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(20));
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static void assertRefused(HttpResponse<String> answer, String outcome, String reason) {
+        assertThat(answer.headers().firstValue("Heatherreach-Reason")).hasValue(reason);
+        assertThat(answer.headers().firstValue("Heatherreach-Outcome")).hasValue(outcome);
+    }
+}
