--- a/coordination/src/main/java/org/heatherreach/coordination/once/ExecutionRecords.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/once/ExecutionRecords.java
@@ -126,6 +126,25 @@
         return List.of(new OnceAction.Dispatch(ack.attempt(), record.waiters.get(0)));
     }
 
+    /**
+     * Takes that a dispatched attempt, which provably did not run, has a slot of another server. It is dispatched again
+     * unless its key has expired or the activity deadline has passed.
+     */
+    public List<OnceAction> repeat(KeyAttempt attempt, long nowNanos) {
+        Record record = find(attempt, Phase.RUNNING);
+        if (record == null) {
+            return List.of();
+        }
+        if (nowNanos - activityDeadlineNanos >= 0) {
+            return refuse(attempt, RefusalReason.ACTIVITY_LAPSED, nowNanos);
+        }
+        if (nowNanos - record.key.expiryNanos() >= 0) {
+            return refuse(attempt, RefusalReason.DEADLINE_PASSED, nowNanos);
+        }
+        dispatches++;
+        return List.of(new OnceAction.Dispatch(attempt, record.waiters.get(0)));
+    }
+
     @Override
     public List<OnceAction> refuse(KeyAttempt attempt, RefusalReason reason, long nowNanos) {
         Record record = find(attempt, null);
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/RecordDuty.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/RecordDuty.java
@@ -203,7 +203,7 @@
             return prepare(execution, nowNanos);
         });
         if (!accepted) {
-            // Nothing of this key was dispatched yet.
+            // No server ran the key: nothing was sent yet, or the servers that it was sent to provably did not run it.
             refuse(callback, RefusalReason.RING_FULL, Outcome.NOT_RUN);
         }
     }
@@ -377,7 +377,9 @@
 
     private List<OnceAction> prepare(Execution execution, long nowNanos) {
         List<OnceAction> others = new ArrayList<>();
-        List<OnceAction> actions = executionRecords.prepare(execution.attempt, nowNanos);
+        List<OnceAction> actions = execution.dispatched
+                ? executionRecords.repeat(execution.attempt, nowNanos)
+                : executionRecords.prepare(execution.attempt, nowNanos);
         for (OnceAction action : actions) {
             if (action instanceof OnceAction.SendIntent send) {
                 sendIntent(execution, send);
--- a/daemon/src/test/java/org/heatherreach/daemon/fleet/RecordDutyTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/fleet/RecordDutyTest.java
@@ -3,7 +3,9 @@
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -13,6 +15,7 @@
 import org.heatherreach.state.outcome.Outcome;
 import org.heatherreach.state.outcome.RefusalReason;
 import org.heatherreach.transport.http.KeyedDecision;
+import org.heatherreach.transport.http.KeyedOutcome;
 import org.heatherreach.transport.http.KeyedRequest;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -300,6 +303,46 @@
         }
     }
 
+    // Guards against a pause between the attempts at two servers, after which the second would still be dispatched.
+    @Example
+    void nothingIsSentToAnotherServerAfterTheActivityDeadline() throws Exception {
+        try (RecordFleet fleet =
+                new RecordFleet(RecordFleet.limits(TimeUnit.MINUTES.toNanos(10), TimeUnit.SECONDS.toNanos(1)))) {
+            KeyedRequest request = new KeyedRequest(fleet.issueKey(0), new ServiceId("certdesk"), 1, 0, false);
+            RecordDuty duty = fleet.node(0).duty();
+            BlockingQueue<KeyedDecision> decisions = new LinkedBlockingQueue<>();
+            duty.extendActivity(System.nanoTime() + TimeUnit.SECONDS.toNanos(2));
+            duty.begin(request, decisions::add);
+            long ticket = ((KeyedDecision.Admit) decisions.take()).ticket();
+            duty.prepare(ticket, decisions::add);
+            KeyedDecision decision = decisions.take();
+            assertThat(decision).isEqualTo(new KeyedDecision.Dispatch());
+            while (decision instanceof KeyedDecision.Dispatch) {
+                duty.prepare(ticket, decisions::add);
+                decision = decisions.take();
+            }
+            assertThat(decision).isEqualTo(new KeyedDecision.Refuse(RefusalReason.ACTIVITY_LAPSED));
+            duty.finish(ticket, new KeyedOutcome.NotRun(RefusalReason.ACTIVITY_LAPSED));
+            duty.begin(request, decisions::add);
+            assertThat(decisions.take()).isInstanceOf(KeyedDecision.Admit.class);
+        }
+    }
+
+    // Guards against a key that stays bound to an attempt which every server shed.
+    @Example
+    void requestThatWasShedMayBeSentAgain() throws Exception {
+        try (RecordFleet fleet = new RecordFleet(RecordFleet.limits())) {
+            String key = fleet.issueKey(0);
+            CompletableFuture<HttpResponse<byte[]>> occupant = fleet.occupyBackend(2, LONG_MILLIS);
+            assertRefused(fleet.call(0, key).send(), Outcome.NOT_RUN, RefusalReason.SERVERS_SHED);
+            assertRefused(fleet.call(1, key).send(), Outcome.NOT_RUN, RefusalReason.SERVERS_SHED);
+            occupant.cancel(true);
+            RecordFleet.await(() -> fleet.backend.count("cancelled") == 1);
+            assertBackend(fleet.call(1, key).send());
+            assertThat(fleet.runs(key)).isEqualTo(1);
+        }
+    }
+
     // Guards against a slot that is never freed, or a key that reads as running, when the deadline passes in the queue.
     @Example
     void requestWhoseDeadlinePassesInTheQueueMayBeSentAgain() throws Exception {
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -72,7 +72,6 @@
     private volatile boolean keyUndecided;
 
     private long keyTicket;
-    private boolean keyPrepared;
     private volatile boolean earlierAttemptMayHaveRun;
     private volatile BackendAttempt attempt;
     private volatile long queuedTicket;
@@ -310,7 +309,7 @@
                         return refuse(refusal.reason(), refusal.retryAfterMillis());
                     }
                     BackendServer server = ((ScheduleDecision.Dispatch) decision).server();
-                    return executed && !keyPrepared ? prepare(server, ticket, body) : dispatch(server, ticket, body);
+                    return executed ? prepare(server, ticket, body) : dispatch(server, ticket, body);
                 });
     }
 
@@ -332,7 +331,6 @@
                         parts.scheduler().cancel(ticket);
                         return Mono.just(new Answer.Refusal(refusal.reason(), refusal.outcome(), 0));
                     }
-                    keyPrepared = true;
                     return dispatch(server, ticket, body);
                 });
     }
--- a/transport/src/main/java/org/heatherreach/transport/http/KeyedExecution.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/KeyedExecution.java
@@ -19,7 +19,7 @@
     void begin(KeyedRequest request, Consumer<KeyedDecision> callback);
 
     /**
-     * Asks whether an admitted request that has its slot may be sent.
+     * Asks whether an admitted request that has a slot may be sent. It is called again for each further server.
      *
      * @param callback receives {@code Dispatch} or {@code Refuse}
      */
