--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/RecordDuty.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/RecordDuty.java
@@ -81,6 +81,7 @@
     private final Queue<Event> overflow = new ConcurrentLinkedQueue<>();
     private final AtomicLong requestNumbers = new AtomicLong();
     private final AtomicLong activitySentNanos;
+    private long appliedActivityNanos;
     private boolean withoutWitnesses;
 
     /** Something that the records have to take. */
@@ -104,6 +105,7 @@
         this.executionRecords = new ExecutionRecords(self, limits, nowNanos);
         this.witnessRecords = new WitnessRecords(self, limits);
         this.activitySentNanos = new AtomicLong(nowNanos);
+        this.appliedActivityNanos = nowNanos;
         this.meters = new RecordMeters(registry);
         this.duty = new DutyThread<>("record", RING_CAPACITY, this::handle, this::tick, TICK_NANOS);
     }
@@ -122,6 +124,7 @@
             var copy = OnceCodec.decode(frame.getOutcomeCopy());
             offer(RecordMeters.Event.OUTCOME_COPY, nowNanos -> {
                 witnessRecords.record(copy, nowNanos);
+                meters.countReceivedCopy();
                 return List.of();
             });
         });
@@ -200,7 +203,7 @@
             return prepare(execution, nowNanos);
         });
         if (!accepted) {
-            // Nothing of this key was dispatched yet.
+            // No server ran the key: nothing was sent yet, or the servers that it was sent to provably did not run it.
             refuse(callback, RefusalReason.RING_FULL, Outcome.NOT_RUN);
         }
     }
@@ -339,10 +342,20 @@
 
     private void apply(Event event) {
         long nowNanos = System.nanoTime();
-        executionRecords.extendActivity(activitySentNanos.get());
+        applyActivity(nowNanos);
         carryOut(event.apply(nowNanos), nowNanos);
     }
 
+    /** Extends the activity deadline, but first refuses what was held if the deadline has passed, as after a pause. */
+    private void applyActivity(long nowNanos) {
+        long sentNanos = activitySentNanos.get();
+        if (sentNanos != appliedActivityNanos) {
+            carryOut(executionRecords.tick(nowNanos), nowNanos);
+            executionRecords.extendActivity(sentNanos);
+            appliedActivityNanos = sentNanos;
+        }
+    }
+
     private void drainOverflow() {
         for (Event event = overflow.poll(); event != null; event = overflow.poll()) {
             apply(event);
@@ -351,7 +364,7 @@
 
     private void tick(long nowNanos) {
         drainOverflow();
-        executionRecords.extendActivity(activitySentNanos.get());
+        applyActivity(nowNanos);
         carryOut(executionRecords.tick(nowNanos), nowNanos);
         carryOut(resolver.tick(nowNanos), nowNanos);
         witnessRecords.tick(nowNanos);
@@ -364,7 +377,9 @@
 
     private List<OnceAction> prepare(Execution execution, long nowNanos) {
         List<OnceAction> others = new ArrayList<>();
-        List<OnceAction> actions = executionRecords.prepare(execution.attempt, nowNanos);
+        List<OnceAction> actions = execution.dispatched
+                ? executionRecords.repeat(execution.attempt, nowNanos)
+                : executionRecords.prepare(execution.attempt, nowNanos);
         for (OnceAction action : actions) {
             if (action instanceof OnceAction.SendIntent send) {
                 sendIntent(execution, send);
