--- a/standins/src/main/java/org/heatherreach/standins/KeyValueState.java
+++ b/standins/src/main/java/org/heatherreach/standins/KeyValueState.java
@@ -220,6 +220,13 @@
         }
     }
 
+    /** Forgets all past events, so that a watch from an earlier revision is cancelled. */
+    synchronized long compact() {
+        events.clear();
+        compactRevision = revision;
+        return revision;
+    }
+
     synchronized long revision() {
         return revision;
     }
--- a/standins/src/main/java/org/heatherreach/standins/StoreServer.java
+++ b/standins/src/main/java/org/heatherreach/standins/StoreServer.java
@@ -63,6 +63,7 @@
                         .get("/faults", () -> faults)
                         .post("/faults", this::switchFaults)
                         .post("/expire-leases", body -> Json.object().put("expired", state.expireAllLeases()))
+                        .post("/compact", body -> Json.object().put("revision", compact()))
                         .post("/break-watches", body -> Json.object().put("broken", breakWatches())));
         timers = List.of(
                 Flux.interval(LEASE_CHECK_INTERVAL).subscribe(tick -> state.expireLeases(System.nanoTime())),
@@ -106,6 +107,11 @@
         return state.expireAllLeases();
     }
 
+    /** Forgets all past events, as a compaction does, and returns the revision up to which they are gone. */
+    public long compact() {
+        return state.compact();
+    }
+
     /** Returns the number of calls on a path such as {@code /v3/kv/range}, refused ones included. */
     public long calls(String path) {
         AtomicLong counter = counters.get(path);
--- a/transport/src/main/java/org/heatherreach/transport/kv/HttpKeyValueStore.java
+++ b/transport/src/main/java/org/heatherreach/transport/kv/HttpKeyValueStore.java
@@ -134,6 +134,7 @@
 
     private Flux<Either<KeyValueError, WatchEvent>> watchOnce(KeyRange range, WatchProgress progress) {
         LineSplitter lines = new LineSplitter();
+        progress.restart();
         int index = endpointIndex.get();
         return http.post()
                 .uri(uri(index, "/v3/watch"))
@@ -150,7 +151,10 @@
                     }
                     return content.asByteArray()
                             .concatMapIterable(lines::feed)
-                            .concatMapIterable(line -> readEvents(line, progress));
+                            .map(line -> readEvents(line, progress))
+                            // The store leaves the stream open after it has ended the watch.
+                            .takeUntil(events -> progress.isCanceled())
+                            .concatMapIterable(events -> events);
                 })
                 .timeout(watchIdleTimeout)
                 .onErrorResume(error -> {
--- a/transport/src/main/java/org/heatherreach/transport/kv/WatchProgress.java
+++ b/transport/src/main/java/org/heatherreach/transport/kv/WatchProgress.java
@@ -10,6 +10,7 @@
 final class WatchProgress {
     private long nextRevision;
     private int failures;
+    private boolean canceled;
 
     WatchProgress(long startRevision) {
         nextRevision = startRevision;
@@ -19,6 +20,16 @@
         return nextRevision;
     }
 
+    /** Forgets that the store ended the watch before. */
+    void restart() {
+        canceled = false;
+    }
+
+    /** Returns whether the store has ended the watch. */
+    boolean isCanceled() {
+        return canceled;
+    }
+
     /** Counts an interruption and returns how many there were in a row. */
     int countFailure() {
         return ++failures;
@@ -28,6 +39,7 @@
     List<WatchEvent> accept(WatchMessage message) {
         List<WatchEvent> events = new ArrayList<>(message.events());
         if (message.canceled()) {
+            canceled = true;
             if (message.compactRevision() > 0) {
                 nextRevision = message.compactRevision() + 1;
                 events.add(new WatchEvent.Compacted(message.compactRevision()));
--- a/transport/src/test/java/org/heatherreach/transport/kv/HttpKeyValueStoreTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/kv/HttpKeyValueStoreTest.java
@@ -132,6 +132,29 @@
         }
     }
 
+    // Guards against a watch that starts over silently, or never again, where the store has forgotten past changes.
+    @Example
+    void compactedWatchTellsItAndContinues() throws InterruptedException {
+        try (StoreServer server = new StoreServer(StoreSettings.standard());
+                HttpKeyValueStore store = client(server, 5000)) {
+            long first = store.put(put("a", "1")).block().get();
+            store.put(put("a", "2")).block();
+            long compacted = server.compact();
+            LinkedBlockingQueue<Either<KeyValueError, WatchEvent>> events = new LinkedBlockingQueue<>();
+            Disposable watch = store.watch(KeyRange.of("a"), first).subscribe(events::add);
+            assertThat(events.poll(10, TimeUnit.SECONDS).get()).isEqualTo(new WatchEvent.Compacted(compacted));
+            long next = store.put(put("a", "3")).block().get();
+            long seen = 0;
+            while (seen == 0) {
+                Either<KeyValueError, WatchEvent> event = events.poll(10, TimeUnit.SECONDS);
+                assertThat(event).isNotNull();
+                seen = event.isRight() && event.get() instanceof WatchEvent.Put put ? put.revision() : 0;
+            }
+            assertThat(seen).isEqualTo(next);
+            watch.dispose();
+        }
+    }
+
     // Guards against a watch that trusts a connection on which the store has fallen silent.
     @Example
     void silentWatchIsGivenUp() throws InterruptedException {
--- a/transport/src/test/java/org/heatherreach/transport/kv/TableStoreTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/kv/TableStoreTest.java
@@ -1,6 +1,7 @@
 package org.heatherreach.transport.kv;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -19,6 +20,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.lifecycle.AfterTry;
+import org.heatherreach.protocol.kv.KeyRange;
+import org.heatherreach.protocol.kv.Operation;
 import org.heatherreach.protocol.kv.Transaction;
 import org.heatherreach.protocol.kv.TransactionResult;
 import org.heatherreach.standins.StoreFaults;
@@ -209,6 +212,31 @@
                 .isTrue();
     }
 
+    // Guards against a damaged store whose content is taken for a table, which would replace a good one in the fleet.
+    @Example
+    void damagedContentIsNotATable() {
+        TableStore tables = new TableStore(store, new Random(1), QUICK);
+        accepted(tables.apply(change("c1", 0, table(1, 1))).block());
+        String chunk = server.keys().stream()
+                .filter(key -> key.startsWith(CHUNKS))
+                .findFirst()
+                .orElseThrow();
+        store.put(new Operation.Put(chunk, "row\n".getBytes(StandardCharsets.UTF_8), 0))
+                .block();
+        assertThat(new TableStore(store, new Random(1), QUICK).read().block().getLeft())
+                .isInstanceOf(TableStoreError.Damaged.class);
+        store.delete(KeyRange.of(chunk)).block();
+        assertThat(new TableStore(store, new Random(1), QUICK)
+                        .read()
+                        .block()
+                        .getLeft()
+                        .reason())
+                .contains("missing");
+        store.put(new Operation.Put(TableStore.HEAD_KEY, "{".getBytes(StandardCharsets.UTF_8), 0))
+                .block();
+        assertThat(tables.read().block().getLeft()).isInstanceOf(TableStoreError.Damaged.class);
+    }
+
     // Guards against changes that are lost, applied twice or reported wrongly while operators, lost responses and the
     // collection of chunks interfere: each operator raises one cell a number of times, and every step has to count
     // once.
