--- a/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
@@ -143,10 +143,10 @@
         view.sequence = Math.max(view.sequence, view.confirmed);
         takeDemand(view, report);
         takeHoldings(view, report);
-        updateCapsIfCongested(nowNanos, actions);
+        updateCapsIfLimitsChange(nowNanos, actions);
         liftCaps(view);
         meetNeed(view, nowNanos, actions);
-        serveUnmet(nowNanos, actions);
+        serveUnmet(view, nowNanos, actions);
         actions.add(answer(view, report.number()));
         return actions;
     }
@@ -198,7 +198,10 @@
                 continue;
             }
             int granted = hold.granted;
-            if (hold.reportedHeld > granted) {
+            if (hold.reportedHeld < granted) {
+                // Returned, or expired at the daemon.
+                granted = hold.reportedHeld;
+            } else if (hold.reportedHeld > granted) {
                 // Leased by another owner before this one.
                 int free = hold.server.free() + hold.bound;
                 granted = view.mayUse(hold.server) ? Math.max(granted, Math.min(hold.reportedHeld, free)) : granted;
@@ -284,16 +287,16 @@
         return new RankShares(totalSlots, needed, active, rankLimits);
     }
 
-    private void updateCapsIfCongested(long nowNanos, List<LedgerAction> actions) {
+    private void updateCapsIfLimitsChange(long nowNanos, List<LedgerAction> actions) {
         if (nowNanos - lastCapsNanos < MIN_CAP_GAP_NANOS) {
             return;
         }
         RankShares shares = shares();
-        boolean newlyLimited = false;
+        boolean changed = false;
         for (Rank rank : RANKS) {
-            newlyLimited |= shares.isLimited(rank) && !limited[rank.ordinal()];
+            changed |= shares.isLimited(rank) != limited[rank.ordinal()];
         }
-        if (newlyLimited) {
+        if (changed) {
             updateCaps(nowNanos);
             for (View view : views.values()) {
                 sendIfChanged(view, actions);
@@ -459,6 +462,10 @@
             return;
         }
         unmetViews.add(view);
+        recallForUnmet(view, actions);
+    }
+
+    private void recallForUnmet(View reporter, List<LedgerAction> actions) {
         int missing = -returning;
         for (View unmet : unmetViews) {
             missing += Math.max(0, unmet.needed() - unmet.holding);
@@ -470,7 +477,7 @@
             }
             Hold hold = donor.idleHold();
             grant(donor, hold, hold.granted - 1);
-            if (donor != view) {
+            if (donor != reporter) {
                 sendIfChanged(donor, actions);
             }
             missing--;
@@ -490,7 +497,7 @@
         return best;
     }
 
-    private void serveUnmet(long nowNanos, List<LedgerAction> actions) {
+    private void serveUnmet(View reporter, long nowNanos, List<LedgerAction> actions) {
         if (unmetViews.isEmpty() || nowNanos - leaseFromNanos < 0) {
             return;
         }
@@ -586,7 +593,14 @@
         return new LedgerAction.SendGrant(
                 view.daemon,
                 new SlotGrant(
-                        limits.service(), part, changedLeases(view), validMillis, reportNumber, view.sequence, caps));
+                        limits.service(),
+                        part,
+                        changedLeases(view),
+                        validMillis,
+                        reportNumber,
+                        view.sequence,
+                        caps,
+                        view.spare));
     }
 
     private static void advanceSequence(View view) {
@@ -601,6 +615,8 @@
         List<SlotLease> leases = new ArrayList<>();
         for (Hold hold : view.holds.values()) {
             if (hold.changedSequence > view.confirmed) {
+                // The daemon may return the slot and then apply this message, so the bound must outlast it too.
+                hold.changedSequence = view.sequence;
                 leases.add(new SlotLease(hold.server.id, hold.granted));
             }
         }
