--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/FleetStatus.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/FleetStatus.java
@@ -44,6 +44,7 @@
                     .put("zone", member.zone().value())
                     .put("host", member.address().host())
                     .put("callerPort", member.callerPort())
+                    .put("peerPort", member.address().port())
                     .put("state", member.state().name().toLowerCase(Locale.ROOT))
                     .put("tableVersion", isSelf ? catalog.version() : member.tableVersion());
         }
--- a/tools/src/main/java/org/heatherreach/tools/DaemonOptions.java
+++ b/tools/src/main/java/org/heatherreach/tools/DaemonOptions.java
@@ -29,7 +29,7 @@
         List<InetSocketAddress> seeds = Addresses.read("--daemons", seedText);
         Option<InetSocketAddress> list =
                 vmText.isEmpty() ? Option.none() : Option.some(Addresses.readOne("--vms", vmText));
-        if (seeds.isEmpty() && list.isEmpty()) {
+        if (seeds.isEmpty()) {
             return Option.none();
         }
         try (FleetClient client = new FleetClient(seeds, list)) {
--- a/tools/src/main/java/org/heatherreach/tools/FleetClient.java
+++ b/tools/src/main/java/org/heatherreach/tools/FleetClient.java
@@ -5,8 +5,11 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 
@@ -20,8 +23,8 @@
 import reactor.netty.resources.ConnectionProvider;
 
 /**
- * Asks daemons over their HTTP endpoints. The daemons to ask are the seeds, the live daemons of the VM list, and every
- * member that an asked daemon names. Confined to the main thread.
+ * Asks daemons over their HTTP endpoints. The daemons to ask are the seeds and every member that an asked daemon names;
+ * the list of VMs shows whether any is missing. Confined to the main thread.
  */
 final class FleetClient implements AutoCloseable {
     /** The service name of daemons in the VM list. */
@@ -52,9 +55,9 @@
     FleetReport report() {
         // Values are ids; an address without id is shown as itself.
         Map<String, String> found = new LinkedHashMap<>();
-        Set<String> departed = new java.util.HashSet<>();
+        Set<String> departed = new HashSet<>();
+        Set<String> identities = new HashSet<>();
         seeds.forEach(seed -> found.put(text(seed), text(seed)));
-        String problem = addVms(found);
         Map<String, DaemonStatus> asked = new LinkedHashMap<>();
         while (asked.size() < found.size()) {
             List<Map.Entry<String, String>> next = found.entrySet().stream()
@@ -68,12 +71,14 @@
             for (Answer answer : answers) {
                 asked.put(answer.status().address(), answer.status());
                 for (JsonNode member : answer.members()) {
-                    String address = member.path("host").asText() + ":"
-                            + member.path("callerPort").asText();
-                    if (GONE.contains(member.path("state").asText().toLowerCase(java.util.Locale.ROOT))) {
+                    String host = member.path("host").asText();
+                    String address = join(host, member.path("callerPort").asText());
+                    if (GONE.contains(member.path("state").asText().toLowerCase(Locale.ROOT))) {
                         departed.add(address);
                     } else {
                         found.putIfAbsent(address, member.path("daemon").asText(address));
+                        identities.add(member.path("daemon").asText());
+                        identities.add(join(host, member.path("peerPort").asText()));
                     }
                 }
             }
@@ -81,8 +86,8 @@
         List<DaemonStatus> statuses = new ArrayList<>(asked.values());
         // A seed that does not answer and that the fleet knows to be gone is not waited for.
         statuses.removeIf(status -> !status.isReachable() && departed.contains(status.address()));
-        statuses.sort(java.util.Comparator.comparing(DaemonStatus::daemon));
-        return new FleetReport(statuses, problem);
+        statuses.sort(Comparator.comparing(DaemonStatus::daemon));
+        return new FleetReport(statuses, findUnknownVms(identities));
     }
 
     /** Sends a request to one daemon; the answer is empty if it does not answer. */
@@ -136,21 +141,30 @@
                 .onErrorResume(error -> Mono.empty());
     }
 
-    private String addVms(Map<String, String> found) {
+    /**
+     * Returns a line for each live daemon VM that no daemon lists as a member. The list has the address for peers, so a
+     * VM is recognised by the peer port or the id that daemons report, and can't be asked itself.
+     */
+    private List<String> findUnknownVms(Set<String> identities) {
         if (vmList.isEmpty()) {
-            return "";
+            return List.of();
         }
         Option<Reply> reply = ask("GET", text(vmList.get()), "/v1/vms");
         if (reply.isEmpty() || reply.get().status() != 200) {
-            return "the list of VMs at " + text(vmList.get()) + " does not answer";
+            return List.of("the list of VMs at " + text(vmList.get()) + " does not answer");
         }
+        List<String> unknown = new ArrayList<>();
         for (JsonNode vm : reply.get().body().path("vms")) {
+            String id = vm.path("id").asText();
+            String address = vm.path("address").asText();
             if (DAEMON_SERVICE.equals(vm.path("service").asText())
-                    && "live".equals(vm.path("state").asText())) {
-                found.put(vm.path("address").asText(), vm.path("id").asText());
+                    && "live".equals(vm.path("state").asText())
+                    && !identities.contains(id)
+                    && !identities.contains(address)) {
+                unknown.add("VM " + id + " at " + address + " is listed live, but no daemon lists it as a member");
             }
         }
-        return "";
+        return unknown;
     }
 
     private static JsonNode parse(byte[] body) {
@@ -163,8 +177,11 @@
     }
 
     private static String text(InetSocketAddress address) {
-        String host = address.getHostString();
-        return (host.indexOf(':') >= 0 ? "[" + host + "]" : host) + ":" + address.getPort();
+        return join(address.getHostString(), Integer.toString(address.getPort()));
+    }
+
+    private static String join(String host, String port) {
+        return (host.indexOf(':') >= 0 ? "[" + host + "]" : host) + ":" + port;
     }
 
     /** The answer of a daemon. */
--- a/tools/src/main/java/org/heatherreach/tools/FleetReport.java
+++ b/tools/src/main/java/org/heatherreach/tools/FleetReport.java
@@ -5,14 +5,14 @@
 /**
  * What all known daemons report.
  *
- * @param daemons every daemon that is a seed, a member in the view of another daemon, or a live VM
- * @param problem why the list may be incomplete, empty if it is complete
+ * @param daemons every daemon that is a seed or a member in the view of another daemon
+ * @param gaps why the list may be incomplete, a line each; none if it is complete
  */
-record FleetReport(List<DaemonStatus> daemons, String problem) {
+record FleetReport(List<DaemonStatus> daemons, List<String> gaps) {
     /** Returns whether every known daemon has itself reported the version or a newer one. */
     boolean isInForceEverywhere(long version) {
         return !daemons.isEmpty()
-                && problem.isEmpty()
+                && gaps.isEmpty()
                 && daemons.stream().allMatch(daemon -> daemon.tableVersion() >= version);
     }
 
@@ -24,9 +24,7 @@
                 .map(daemon -> daemon.daemon() + " at " + daemon.address()
                         + (daemon.isReachable() ? " has version " + daemon.tableVersion() : " does not answer"))
                 .forEach(lines::add);
-        if (!problem.isEmpty()) {
-            lines.add(problem);
-        }
+        lines.addAll(gaps);
         return lines;
     }
 }
--- a/tools/src/test/java/org/heatherreach/tools/FakeDaemon.java
+++ b/tools/src/test/java/org/heatherreach/tools/FakeDaemon.java
@@ -8,6 +8,8 @@
 
 /** Answers the endpoints of a daemon that the tool asks. */
 final class FakeDaemon implements AutoCloseable {
+    static final int PEER_PORT = 7;
+
     private final String id;
     private final DisposableServer server;
     private volatile long version;
@@ -52,7 +54,7 @@
         for (FakeDaemon member : members) {
             text.append(text.isEmpty() ? "" : ",")
                     .append("{\"daemon\":\"" + member.id + "\",\"host\":\"127.0.0.1\",\"callerPort\":"
-                            + member.server.port() + ",\"state\":\"" + member.state
+                            + member.server.port() + ",\"peerPort\":" + PEER_PORT + ",\"state\":\"" + member.state
                             + "\",\"tableVersion\":" + member.version + "}");
         }
         return "{\"daemon\":\"" + id + "\",\"incarnation\":\"1\",\"zone\":\"a\",\"tableVersion\":" + version
--- a/tools/src/test/java/org/heatherreach/tools/ToolTest.java
+++ b/tools/src/test/java/org/heatherreach/tools/ToolTest.java
@@ -109,10 +109,16 @@
             assertThat(errors).contains("in force at 1 of 2 daemons");
             second.setVersion(Long.MAX_VALUE);
             assertThat(run("status")).isZero();
-            vms.set(List.of(new VmListServer.Vm("d3", "127.0.0.1:1", "a", "heatherreach", VmListServer.State.LIVE)));
+            String known = "127.0.0.1:" + FakeDaemon.PEER_PORT;
             environment.put("HEATHERREACH_VMS", "127.0.0.1:" + vms.port());
+            vms.set(List.of(new VmListServer.Vm("v1", known, "a", "heatherreach", VmListServer.State.LIVE)));
+            assertThat(run("status")).as(output).isZero();
+            vms.set(List.of(
+                    new VmListServer.Vm("v1", known, "a", "heatherreach", VmListServer.State.LIVE),
+                    new VmListServer.Vm("v2", "127.0.0.1:8", "a", "heatherreach", VmListServer.State.LEAVING),
+                    new VmListServer.Vm("v3", "127.0.0.1:9", "a", "heatherreach", VmListServer.State.LIVE)));
             assertThat(run("status")).isEqualTo(ExitCode.PENDING.code());
-            assertThat(output).contains("d3 at 127.0.0.1:1 does not answer");
+            assertThat(output).contains("VM v3 at 127.0.0.1:9 is listed live").doesNotContain("VM v2");
             vms.setFaults(0, true);
             assertThat(run("status")).isEqualTo(ExitCode.PENDING.code());
             assertThat(output).contains("list of VMs");
