Keep a tenth of the slots idle at the owner

Cause: with as many idle slots as daemons every idle slot was leased out, so a queue waited for a recall, two round trips.

--- a/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
@@ -41,6 +41,9 @@
     /** Below this rate a rank or daemon has no recent arrivals. */
     private static final double ACTIVE_RATE = 0.01;
 
+    /** Idle slots that stay with the owner, so that a queue gets one within a round trip instead of after a recall. */
+    private static final int RESERVE_PERCENT = 10;
+
     private static final Rank[] RANKS = Rank.values();
 
     private final int part;
@@ -390,6 +393,7 @@
                 weightSum += view.weight;
             }
         }
+        spare -= totalSlots * RESERVE_PERCENT / 100;
         if (spare <= 0 || active.isEmpty()) {
             return;
         }
