Measure the cost of the slot logic and bound the search for donors

Adds the benchmark slotcost. Cause: each report of an unmet daemon summed over all unmet daemons and searched all daemons for idle slots. Change: sums are kept up to date, the search considers 16 daemons from a rotating start, and subsets sort primitive values.

--- a/bench/src/main/java/org/heatherreach/bench/BenchMain.java
+++ b/bench/src/main/java/org/heatherreach/bench/BenchMain.java
@@ -8,10 +8,11 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import org.heatherreach.bench.slot.Floods;
+import org.heatherreach.bench.slot.SlotCost;
 
 /** Entry point of {@code bench}. Confined to the main thread. */
 public final class BenchMain {
-    private static final List<Benchmark> BENCHMARKS = List.of(new Floods());
+    private static final List<Benchmark> BENCHMARKS = List.of(new Floods(), new SlotCost());
 
     @Parameter(names = "--seed", description = "Seed of every random choice")
     private long seed = 1;
--- a/coordination/src/main/java/org/heatherreach/coordination/slot/ServerSubsets.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/ServerSubsets.java
@@ -1,8 +1,8 @@
 package org.heatherreach.coordination.slot;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -21,6 +21,8 @@
  * thread.
  */
 public final class ServerSubsets {
+    private static final long INDEX_MASK = 0xffff;
+
     private ServerSubsets() {}
 
     /**
@@ -59,20 +61,18 @@
             int perDaemon,
             int daemonsPerServer) {
         LongHashFunction hash = LongHashFunction.xx(daemon.value());
-        List<Integer> candidates = new ArrayList<>();
         long[] scores = new long[sorted.size()];
-        for (int i = 0; i < scores.length; i++) {
+        int candidates = 0;
+        for (int i = 0; i < sorted.size(); i++) {
             if (used[i] < daemonsPerServer) {
-                scores[i] = hash.hashLong(serverHashes[i]);
-                candidates.add(i);
+                // The low bits carry the index, so that primitive values can be sorted.
+                scores[candidates++] = hash.hashLong(serverHashes[i]) & ~INDEX_MASK | i;
             }
         }
-        candidates.sort(Comparator.comparingLong((Integer i) -> scores[i]).reversed());
+        Arrays.sort(scores, 0, candidates);
         Set<ServerId> chosen = new LinkedHashSet<>();
-        for (int i : candidates) {
-            if (chosen.size() == perDaemon) {
-                break;
-            }
+        for (int place = candidates - 1; place >= 0 && chosen.size() < perDaemon; place--) {
+            int i = (int) (scores[place] & INDEX_MASK);
             chosen.add(sorted.get(i));
             used[i]++;
         }
--- a/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
@@ -35,6 +35,9 @@
     private static final long REBUILD_NANOS = LeasedSlotPool.REPORT_NANOS;
     private static final long REBALANCE_NANOS = LeasedSlotPool.REPORT_NANOS;
 
+    /** Bounds the search for a daemon with idle slots; the search starts at another daemon each time. */
+    private static final int DONORS_CONSIDERED = 16;
+
     /** Bounds the cost of recomputing the caps of all daemons when ranks become congested. */
     private static final long MIN_CAP_GAP_NANOS = 5_000_000L;
 
@@ -52,6 +55,7 @@
     private final Map<IncarnationId, View> views = new LinkedHashMap<>();
     private final Map<IncarnationId, ZoneId> members = new HashMap<>();
     private final Set<View> unmetViews = new LinkedHashSet<>();
+    private final List<View> donorOrder = new ArrayList<>();
     private final int[] queued = new int[RANKS.length];
     private final int[] running = new int[RANKS.length];
     private final double[] rates = new double[RANKS.length];
@@ -62,6 +66,10 @@
     private Map<IncarnationId, Set<ServerId>> subsets = Map.of();
     private int totalSlots;
     private int returning;
+    private int idle;
+    private int donorCursor;
+    private int boundSum;
+    private int unmetSum;
     private long lastRebalanceNanos;
     private long lastCapsNanos;
 
@@ -159,6 +167,7 @@
         view.zone = members.get(daemon);
         view.subset = subsets.get(daemon);
         Arrays.fill(view.caps, Integer.MAX_VALUE);
+        donorOrder.clear();
         return view;
     }
 
@@ -273,7 +282,8 @@
                     set(view, hold, 0, 0, 0);
                 }
                 addDemand(view, -1);
-                unmetViews.remove(view);
+                removeUnmet(view);
+                donorOrder.clear();
                 all.remove();
             }
         }
@@ -462,19 +472,25 @@
             continue;
         }
         if (view.holding >= view.needed()) {
-            unmetViews.remove(view);
+            removeUnmet(view);
             return;
         }
         unmetViews.add(view);
+        unmetSum += view.needed() - view.holding - view.unmet;
+        view.unmet = view.needed() - view.holding;
         recallForUnmet(view, actions);
     }
 
-    private void recallForUnmet(View reporter, List<LedgerAction> actions) {
-        int missing = -returning;
-        for (View unmet : unmetViews) {
-            missing += Math.max(0, unmet.needed() - unmet.holding);
+    private void removeUnmet(View view) {
+        if (unmetViews.remove(view)) {
+            unmetSum -= view.unmet;
+            view.unmet = 0;
         }
-        while (missing > 0) {
+    }
+
+    private void recallForUnmet(View reporter, List<LedgerAction> actions) {
+        int missing = unmetSum - returning;
+        while (missing > 0 && idle > 0) {
             View donor = chooseDonor();
             if (donor == null) {
                 return;
@@ -489,20 +505,34 @@
     }
 
     private View chooseDonor() {
+        if (donorOrder.size() != views.size()) {
+            donorOrder.clear();
+            donorOrder.addAll(views.values());
+        }
         View best = null;
         int most = 0;
-        for (View view : views.values()) {
+        int considered = 0;
+        for (int i = 0; i < donorOrder.size() && considered < DONORS_CONSIDERED; i++) {
+            View view = donorOrder.get((donorCursor + i) % donorOrder.size());
             int surplus = view.holding - view.needed();
-            if (surplus > most && view.idleHold() != null) {
-                best = view;
-                most = surplus;
+            if (surplus > 0 && view.idleHold() != null) {
+                considered++;
+                if (surplus > most) {
+                    best = view;
+                    most = surplus;
+                }
             }
         }
+        donorCursor = (donorCursor + 1) % donorOrder.size();
         return best;
     }
 
+    private int freeSlots() {
+        return totalSlots - boundSum;
+    }
+
     private void serveUnmet(View reporter, long nowNanos, List<LedgerAction> actions) {
-        if (unmetViews.isEmpty() || nowNanos - leaseFromNanos < 0) {
+        if (unmetViews.isEmpty() || freeSlots() <= 0 || nowNanos - leaseFromNanos < 0) {
             return;
         }
         List<View> waiting = new ArrayList<>(unmetViews);
@@ -513,7 +543,7 @@
                 raised = true;
             }
             if (view.holding >= view.needed()) {
-                unmetViews.remove(view);
+                removeUnmet(view);
             }
             if (raised) {
                 sendIfChanged(view, actions);
@@ -532,6 +562,9 @@
                 return true;
             }
         }
+        if (freeSlots() <= 0) {
+            return false;
+        }
         ServerState best = null;
         boolean bestInZone = false;
         for (ServerState server : servers.values()) {
@@ -560,11 +593,13 @@
     }
 
     private void set(View view, Hold hold, int granted, int bound, int inUse) {
+        idle += Math.max(0, granted - inUse) - Math.max(0, hold.granted - hold.inUse);
         int before = Math.max(hold.granted, hold.inUse);
         int after = Math.max(granted, inUse);
         returning += bound - after - (hold.bound - before);
         view.holding += after - before;
         hold.server.bound += bound - hold.bound;
+        boundSum += bound - hold.bound;
         hold.granted = granted;
         hold.bound = bound;
         hold.inUse = inUse;
@@ -673,6 +708,7 @@
         boolean changed;
         boolean capsChanged;
         int holding;
+        int unmet;
         int spare;
         int newCap;
         double weight;
