Round guarantees up to whole slots

Change: guarantees are rounded up where all of them fit, and fractions of a limited rank are carried over in time.

--- a/coordination/src/main/java/org/heatherreach/coordination/rank/RankShares.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/rank/RankShares.java
@@ -10,6 +10,9 @@
  * goes to the most urgent rank that needs it. Immutable and safe for use by any thread.
  */
 public final class RankShares {
+    /** Keeps errors of floating-point arithmetic from adding a whole slot. */
+    private static final double ROUNDING = 1e-9;
+
     private static final Rank[] RANKS = Rank.values();
 
     private final double[] allowed = new double[RANKS.length];
@@ -31,12 +34,15 @@
         for (Rank rank : RANKS) {
             percentSum += rankLimits.get(rank).guaranteePercent();
         }
+        boolean whole = roundsUp(slots, rankLimits);
         double reservedSum = 0;
         double wanted = 0;
         for (Rank rank : RANKS) {
             int index = rank.ordinal();
             if (active[index] || needed[index] > 0) {
-                reserved[index] = slots * rankLimits.get(rank).guaranteePercent() / Math.max(100, percentSum);
+                double exact = slots * rankLimits.get(rank).guaranteePercent() / Math.max(100, percentSum);
+                // Slots are whole, so a share that is rounded down would be less than its guarantee.
+                reserved[index] = whole ? Math.ceil(exact - ROUNDING) : exact;
             }
             reservedSum += reserved[index];
             wanted += Math.max(reserved[index], needed[index]);
@@ -53,6 +59,14 @@
         }
     }
 
+    private static boolean roundsUp(int slots, Map<Rank, RankLimits> rankLimits) {
+        double sum = 0;
+        for (Rank rank : RANKS) {
+            sum += Math.ceil(slots * rankLimits.get(rank).guaranteePercent() / 100.0 - ROUNDING);
+        }
+        return sum <= slots;
+    }
+
     /** Returns whether the needs and the guarantees can't all be met at once. */
     public boolean isCongested() {
         return congested;
--- a/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
@@ -59,6 +59,7 @@
     private final int[] queued = new int[RANKS.length];
     private final int[] running = new int[RANKS.length];
     private final double[] rates = new double[RANKS.length];
+    private final double[] fractions = new double[RANKS.length];
     private final boolean[] limited = new boolean[RANKS.length];
 
     private ServiceLimits limits;
@@ -324,7 +325,10 @@
             int index = rank.ordinal();
             limited[index] = shares.isLimited(rank);
             if (limited[index]) {
-                apportion(index, (int) shares.allowedSlots(rank));
+                // The fraction is carried over, so that the share holds over time.
+                double exact = shares.allowedSlots(rank) + fractions[index];
+                fractions[index] = exact - Math.floor(exact);
+                apportion(index, (int) exact);
             } else {
                 for (View view : views.values()) {
                     double share = rates[index] > 0 ? view.rates[index] / rates[index] : 0;
--- /dev/null
+++ b/coordination/src/test/java/org/heatherreach/coordination/rank/RankRulesTest.java
@@ -0,0 +1,109 @@
+package org.heatherreach.coordination.rank;
+
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Random;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.heatherreach.state.rank.Rank;
+import org.heatherreach.state.table.RankLimits;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RankRulesTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    private static Map<Rank, RankLimits> ranks(int urgent, int standard, int bulk) {
+        Map<Rank, RankLimits> ranks = new EnumMap<>(Rank.class);
+        ranks.put(Rank.URGENT, new RankLimits(Rank.URGENT, 1, urgent, 10, 1_000));
+        ranks.put(Rank.STANDARD, new RankLimits(Rank.STANDARD, 1, standard, 10, 1_000));
+        ranks.put(Rank.BULK, new RankLimits(Rank.BULK, 1, bulk, 10, 1_000));
+        return ranks;
+    }
+
+    // Guards against shares that leave a rank with recent arrivals less than its guarantee or exceed all slots.
+    @Property(seed = "4201")
+    void guaranteesFitAndAreKept(
+            @ForAll @IntRange(min = 1, max = 500) int slots,
+            @ForAll @IntRange(max = 50) int urgent,
+            @ForAll @IntRange(max = 30) int standard,
+            @ForAll @IntRange(max = 20) int bulk,
+            @ForAll @IntRange(max = 1_000) int queuedUrgent,
+            @ForAll @IntRange(max = 1_000) int queuedStandard,
+            @ForAll @IntRange(max = 1_000) int queuedBulk) {
+        int[] needed = {queuedUrgent, queuedStandard, queuedBulk};
+        Map<Rank, RankLimits> limits = ranks(urgent, standard, bulk);
+        RankShares shares = new RankShares(slots, needed, new boolean[] {true, true, true}, limits);
+        double sum = 0;
+        for (Rank rank : Rank.values()) {
+            double guarantee = slots * limits.get(rank).guaranteePercent() / 100.0;
+            sum += shares.allowedSlots(rank);
+            assertThat(shares.allowedSlots(rank)).isGreaterThanOrEqualTo(guarantee - 1e-6);
+            if (!shares.isLimited(rank) && shares.isCongested()) {
+                assertThat((double) needed[rank.ordinal()]).isLessThanOrEqualTo(shares.allowedSlots(rank) + 1e-6);
+            }
+        }
+        assertThat(sum).isLessThanOrEqualTo(slots + 1e-6);
+    }
+
+    // Guards against unreserved slots that go to bulk work while urgent work waits.
+    @Example
+    void unreservedSlotsGoToTheMostUrgentRank() {
+        RankShares shares =
+                new RankShares(100, new int[] {500, 500, 500}, new boolean[] {true, true, true}, ranks(40, 25, 15));
+        assertThat(shares.allowedSlots(Rank.URGENT)).isEqualTo(60);
+        assertThat(shares.allowedSlots(Rank.STANDARD)).isEqualTo(25);
+        assertThat(shares.allowedSlots(Rank.BULK)).isEqualTo(15);
+    }
+
+    // Guards against retries beyond the share of the table in any window of 10 s.
+    @Property(seed = "4202", tries = 200)
+    void retriesStayWithinTheBudget(@ForAll long seed, @ForAll @IntRange(max = 100) int percent) {
+        Random random = new Random(seed);
+        RetryBudget budget = new RetryBudget(percent, 0);
+        int requests = 0;
+        int retries = 0;
+        for (int i = 0; i < 500; i++) {
+            long nowNanos = i * SECOND / 100;
+            if (random.nextInt(3) > 0) {
+                budget.recordRequest(nowNanos);
+                requests++;
+            } else if (budget.tryRetry(nowNanos)) {
+                retries++;
+            }
+            assertThat(retries).isLessThanOrEqualTo((requests * percent + 99) / 100);
+        }
+        assertThat(budget.tryRetry(60 * SECOND)).isFalse();
+    }
+
+    // Guards against callers that come back together after one refusal.
+    @Example
+    void hintsAreSpreadAndNeverBelowTheExpectedWait() {
+        RetryHint hint = new RetryHint(new Random(7));
+        long[] drawn = new long[500];
+        for (int i = 0; i < drawn.length; i++) {
+            drawn[i] = hint.drawMillis(2 * SECOND);
+            assertThat(drawn[i]).isBetween(2_000L, 6_000L);
+        }
+        assertThat(Arrays.stream(drawn).distinct().count()).isGreaterThan(300);
+    }
+
+    // Guards against a queue that serves a later deadline first, or equal deadlines out of order.
+    @Example
+    void queueOrdersByDeadlineThenArrival() {
+        DeadlineQueue<String> queue = new DeadlineQueue<>();
+        queue.add("late", 30);
+        queue.add("first", 10);
+        DeadlineQueue.Key second = queue.add("second", 10);
+        assertThat(queue.elements()).containsExactly("first", "second", "late");
+        assertThat(queue.estimateAheadOf(40)).isEqualTo(3);
+        assertThat(queue.estimateAheadOf(5)).isZero();
+        queue.remove(second);
+        assertThat(queue.first()).isEqualTo("first");
+        assertThat(queue.size()).isEqualTo(2);
+    }
+}
--- a/coordination/src/test/java/org/heatherreach/coordination/slot/SlotFleet.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/slot/SlotFleet.java
@@ -15,6 +15,8 @@
 import org.heatherreach.state.id.ServerId;
 import org.heatherreach.state.id.ServiceId;
 import org.heatherreach.state.id.ZoneId;
+import org.heatherreach.state.outcome.RefusalReason;
+import org.heatherreach.state.outcome.RetryReason;
 import org.heatherreach.state.rank.Rank;
 import org.heatherreach.state.table.RankLimits;
 import org.heatherreach.state.table.ServiceLimits;
@@ -33,6 +35,7 @@
     final List<IncarnationId> ids = new ArrayList<>();
     final List<Message> messages = new ArrayList<>();
     final Map<RequestId, Integer> decisions = new HashMap<>();
+    final Map<RequestId, RefusalReason> refusals = new HashMap<>();
     final Set<RequestId> submitted = new HashSet<>();
     final Set<RequestId> cancelled = new HashSet<>();
     final Map<RequestId, Running> running = new HashMap<>();
@@ -69,6 +72,13 @@
         take(ledger.onServers(listed, nowNanos));
     }
 
+    void updateServers() {
+        take(ledger.onServers(listed, nowNanos));
+        for (int i = 0; i < DAEMONS; i++) {
+            take(i, pools.get(i).onServers(listed, DAEMONS, nowNanos));
+        }
+    }
+
     static ServiceLimits limits() {
         return new ServiceLimits(new ServiceId("s"), 50, SLOTS, 300, 10);
     }
@@ -95,6 +105,11 @@
         take(entry.daemon(), pools.get(entry.daemon()).complete(id, nowNanos));
     }
 
+    void retry(RequestId id, RetryReason reason) {
+        Running entry = running.remove(id);
+        take(entry.daemon(), pools.get(entry.daemon()).retry(id, reason, nowNanos));
+    }
+
     void cancel(int daemon, RequestId id) {
         cancelled.add(id);
         running.remove(id);
@@ -151,6 +166,7 @@
                 running.put(dispatch.request(), new Running(daemon, dispatch.server(), leased));
             } else if (action instanceof SlotAction.Refuse refuse) {
                 decisions.merge(refuse.request(), 1, Integer::sum);
+                refusals.put(refuse.request(), refuse.reason());
                 assertThat(running).doesNotContainKey(refuse.request());
             } else if (action instanceof SlotAction.SendReport report) {
                 messages.add(new Message(ids.get(daemon), report.report()));
