--- a/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
@@ -32,6 +32,9 @@
     /** How long a lease is valid without a renewing report. */
     public static final long LEASE_NANOS = 2_000_000_000L;
 
+    /** Reports at the regular interval are always answered; those in between only if something changed. */
+    private static final long RENEW_NANOS = LeasedSlotPool.REPORT_NANOS / 2;
+
     private static final long REBUILD_NANOS = LeasedSlotPool.REPORT_NANOS;
     private static final long REBALANCE_NANOS = LeasedSlotPool.REPORT_NANOS;
 
@@ -141,10 +144,13 @@
         return actions;
     }
 
-    /** Takes a report and answers it with a grant, which renews the leases. A report out of order is ignored. */
+    /**
+     * Takes a report. It is answered with a grant, which renews the leases, if something changed or the last renewal is
+     * not recent. A report out of order is ignored.
+     */
     public List<LedgerAction> onReport(IncarnationId daemon, SlotReport report, long nowNanos) {
         List<LedgerAction> actions = new ArrayList<>(2);
-        View view = views.computeIfAbsent(daemon, this::createView);
+        View view = views.computeIfAbsent(daemon, key -> createView(key, nowNanos));
         if (report.number() <= view.reportNumber) {
             return actions;
         }
@@ -159,13 +165,17 @@
         liftCaps(view);
         meetNeed(view, nowNanos, actions);
         serveUnmet(view, nowNanos, actions);
-        actions.add(answer(view, report.number()));
+        if (view.changed || view.capsChanged || nowNanos - view.renewedNanos >= RENEW_NANOS) {
+            view.renewedNanos = nowNanos;
+            actions.add(answer(view, report.number()));
+        }
         return actions;
     }
 
-    private View createView(IncarnationId daemon) {
+    private View createView(IncarnationId daemon, long nowNanos) {
         View view = new View(daemon);
         view.zone = members.get(daemon);
+        view.renewedNanos = nowNanos - RENEW_NANOS;
         view.subset = subsets.get(daemon);
         Arrays.fill(view.caps, Integer.MAX_VALUE);
         donorOrder.clear();
@@ -709,6 +719,7 @@
         long confirmed;
         long sequence;
         long expiryDeadlineNanos;
+        long renewedNanos;
         boolean changed;
         boolean capsChanged;
         int holding;
