Bound the work of the owner per report at many daemons

Cause: the search for a daemon with idle slots passed over all daemons when few had any, and each raise passed over all servers of the part. Change: a search passes over 64 daemons at most, a raise over the servers of the daemon's subset, and caps are recomputed at most each 50 us per daemon.

--- a/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
@@ -41,9 +41,14 @@
     /** Bounds the search for a daemon with idle slots; the search starts at another daemon each time. */
     private static final int DONORS_CONSIDERED = 16;
 
+    private static final int VIEWS_SCANNED = 64;
+
     /** Bounds the cost of recomputing the caps of all daemons when ranks become congested. */
     private static final long MIN_CAP_GAP_NANOS = 5_000_000L;
 
+    /** The caps cost time in proportion to the daemons; at 880 daemons they are recomputed each 44 ms at most. */
+    private static final long CAP_GAP_NANOS_PER_DAEMON = 50_000L;
+
     /** Below this rate a rank or daemon has no recent arrivals. */
     private static final double ACTIVE_RATE = 0.01;
 
@@ -68,6 +73,7 @@
     private ServiceLimits limits;
     private Map<Rank, RankLimits> rankLimits;
     private Map<IncarnationId, Set<ServerId>> subsets = Map.of();
+    private List<ServerState> usable = List.of();
     private int totalSlots;
     private int returning;
     private int idle;
@@ -113,10 +119,14 @@
 
     private List<LedgerAction> onCapacityChange(long nowNanos) {
         totalSlots = 0;
+        usable = new ArrayList<>();
         List<ServerId> ids = new ArrayList<>();
         for (ServerState server : servers.values()) {
             server.capacity = server.listed == null ? 0 : server.listed.usableSlots(limits.slots());
             totalSlots += server.capacity;
+            if (server.capacity > 0) {
+                usable.add(server);
+            }
             if (server.listed != null) {
                 ids.add(server.id);
             }
@@ -125,7 +135,7 @@
                 ? Map.of()
                 : ServerSubsets.assign(ids, members.keySet(), limits);
         for (View view : views.values()) {
-            view.subset = subsets.get(view.daemon);
+            setCandidates(view);
             for (Hold hold : view.holds.values()) {
                 int allowed = view.mayUse(hold.server)
                         ? Math.max(0, Math.min(hold.granted, hold.granted + hold.server.free()))
@@ -172,11 +182,26 @@
         return actions;
     }
 
+    private void setCandidates(View view) {
+        view.subset = subsets.get(view.daemon);
+        if (view.subset == null) {
+            view.candidates = usable;
+            return;
+        }
+        view.candidates = new ArrayList<>();
+        for (ServerId id : view.subset) {
+            ServerState server = servers.get(id);
+            if (server != null && server.capacity > 0) {
+                view.candidates.add(server);
+            }
+        }
+    }
+
     private View createView(IncarnationId daemon, long nowNanos) {
         View view = new View(daemon);
         view.zone = members.get(daemon);
         view.renewedNanos = nowNanos - RENEW_NANOS;
-        view.subset = subsets.get(daemon);
+        setCandidates(view);
         Arrays.fill(view.caps, Integer.MAX_VALUE);
         donorOrder.clear();
         return view;
@@ -312,7 +337,7 @@
     }
 
     private void updateCapsIfLimitsChange(long nowNanos, List<LedgerAction> actions) {
-        if (nowNanos - lastCapsNanos < MIN_CAP_GAP_NANOS) {
+        if (nowNanos - lastCapsNanos < Math.max(MIN_CAP_GAP_NANOS, views.size() * CAP_GAP_NANOS_PER_DAEMON)) {
             return;
         }
         RankShares shares = shares();
@@ -526,7 +551,8 @@
         View best = null;
         int most = 0;
         int considered = 0;
-        for (int i = 0; i < donorOrder.size() && considered < DONORS_CONSIDERED; i++) {
+        int scanned = Math.min(donorOrder.size(), VIEWS_SCANNED);
+        for (int i = 0; i < scanned && considered < DONORS_CONSIDERED; i++) {
             View view = donorOrder.get((donorCursor + i) % donorOrder.size());
             int surplus = view.holding - view.needed();
             if (surplus > 0 && view.idleHold() != null) {
@@ -537,7 +563,7 @@
                 }
             }
         }
-        donorCursor = (donorCursor + 1) % donorOrder.size();
+        donorCursor = (donorCursor + (best == null ? scanned : 1)) % donorOrder.size();
         return best;
     }
 
@@ -581,8 +607,8 @@
         }
         ServerState best = null;
         boolean bestInZone = false;
-        for (ServerState server : servers.values()) {
-            if (server.free() <= 0 || !view.mayUse(server)) {
+        for (ServerState server : view.candidates) {
+            if (server.free() <= 0) {
                 continue;
             }
             boolean inZone = server.listed.zone().equals(view.zone);
@@ -715,6 +741,7 @@
         final double[] credits = new double[RANKS.length];
         ZoneId zone;
         Set<ServerId> subset;
+        List<ServerState> candidates;
         long reportNumber;
         long confirmed;
         long sequence;
