--- a/coordination/src/main/java/org/heatherreach/coordination/health/Reference.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/Reference.java
@@ -31,7 +31,7 @@
     private static final double MIN_LATENCY_WEIGHT = -2;
     private static final double SMOOTHING = 4;
     private static final double HISTORY_DECAY = 0.998;
-    /** A server with a higher score is not added to the history, which else learns from the fault to be found. */
+    /** The history of failures leaves out servers with a higher score, or it learns from the fault to be found. */
     private static final double MAX_HISTORY_SCORE = 1;
 
     private final double[] history = new double[LatencyBuckets.COUNT];
@@ -57,8 +57,9 @@
         historyRequests *= HISTORY_DECAY;
         historyFailures *= HISTORY_DECAY;
         for (ServerRecord record : peers) {
-            if (record.score(0) <= MAX_HISTORY_SCORE) {
-                record.addRecentLatency(history, 1 - ServerRecord.RECENT_DECAY);
+            // Leaving out slow servers would cut the tail out of the usual latency, so that healthy ones look slow.
+            record.addRecentLatency(history, 1 - ServerRecord.RECENT_DECAY);
+            if (record.failureScore(0) <= MAX_HISTORY_SCORE) {
                 historyRequests += record.recentRequests() * (1 - ServerRecord.RECENT_DECAY);
                 historyFailures += record.recentFailures() * (1 - ServerRecord.RECENT_DECAY);
             }
--- a/coordination/src/main/java/org/heatherreach/coordination/health/ServerRecord.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/ServerRecord.java
@@ -199,6 +199,10 @@
         return failureScores[scope] + latencyScores[scope];
     }
 
+    double failureScore(int scope) {
+        return failureScores[scope];
+    }
+
     boolean isMostlyFailing(int scope) {
         return failureScores[scope] >= latencyScores[scope];
     }
