Count a stalled exchange relative to the usual latency and at most twice

Cause: one exchange of the heavy tail counted as slow, as up to three stalls and as a time-out, and convicted alone. Change: a stall is silence of 16 times the usual latency, at least 1 s; it counts again at twice that and not again when the exchange is given up.

--- a/coordination/src/main/java/org/heatherreach/coordination/health/EvidenceWindow.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/EvidenceWindow.java
@@ -26,10 +26,13 @@
     /** The interval between two reports. */
     public static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-    /** Silence after which an exchange counts as stalled; counted again at each doubling, three times in all. */
-    public static final long STALL_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /** The least silence after which an exchange counts as stalled. */
+    public static final long MIN_STALL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    private static final int MAX_STALL_COUNTS = 3;
+    /** Silence of 16 times the usual latency is a stall, and again at twice that, which ends the counting. */
+    private static final double STALL_FACTOR = 16;
+
+    private static final int MAX_STALL_COUNTS = 2;
     private static final double LATE_FACTOR = 4;
     /** Keeps about 10 s of latencies, enough for the median of a service with one request a second. */
     private static final double USUAL_DECAY = 0.975;
@@ -95,7 +98,14 @@
         switch (kind) {
             case ERROR -> counts.errors++;
             case TRUNCATED -> counts.truncated++;
-            case STALLED -> counts.stalled++;
+            case STALLED -> {
+                // An exchange must not convict a server alone by being counted as a stall again when it is given up.
+                if (open.stallCounts == 0) {
+                    counts.stalled++;
+                } else {
+                    counts.requests--;
+                }
+            }
             case CONNECT -> counts.connectFailures++;
             default -> throw new IllegalArgumentException("unknown kind " + kind);
         }
@@ -127,13 +137,15 @@
     }
 
     private void countOpenExchanges(long nowNanos) {
-        long lateNanos = lateNanos();
+        long usualNanos = usualNanos();
+        long lateNanos = usualNanos == 0 ? MIN_STALL_NANOS : (long) (usualNanos * LATE_FACTOR);
+        long stallNanos = Math.max(MIN_STALL_NANOS, (long) (usualNanos * STALL_FACTOR));
         for (Exchange open : exchanges.values()) {
             if (!open.latencyCounted && nowNanos - open.beginNanos >= lateNanos) {
                 countLatency(open, nowNanos);
             }
             if (open.stallCounts < MAX_STALL_COUNTS
-                    && nowNanos - open.lastByteNanos >= STALL_NANOS << open.stallCounts) {
+                    && nowNanos - open.lastByteNanos >= stallNanos << open.stallCounts) {
                 open.stallCounts++;
                 Counts counts = countsOf(open.server);
                 counts.requests++;
@@ -142,14 +154,14 @@
         }
     }
 
-    /** Without latencies to compare with, only a stall is late. */
-    private long lateNanos() {
+    /** Returns the upper limit of the median latency of the service, or 0 if there is nothing to compare with. */
+    private long usualNanos() {
         double total = 0;
         for (double count : usualLatency) {
             total += count;
         }
         if (total < 1) {
-            return STALL_NANOS;
+            return 0;
         }
         double below = 0;
         int median = 0;
@@ -160,7 +172,7 @@
             }
             median++;
         }
-        return (long) (LatencyBuckets.upperLimitNanos(median) * LATE_FACTOR);
+        return LatencyBuckets.upperLimitNanos(median);
     }
 
     private void countLatency(Exchange open, long nowNanos) {
--- a/coordination/src/main/java/org/heatherreach/coordination/health/ServerEvidence.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/ServerEvidence.java
@@ -13,7 +13,7 @@
  * @param requests exchanges that ended, plus one for each {@code stalled}
  * @param errors exchanges that failed with an error
  * @param truncated exchanges whose response was truncated
- * @param stalled exchanges in which the server fell silent; one that stays silent is counted again at each doubling
+ * @param stalled exchanges in which the server fell silent; one that stays silent twice as long counts again
  * @param connectFailures connection attempts that failed
  * @param latencyCounts times to the response head by bucket; an unanswered exchange is counted once by its age
  */
--- a/coordination/src/test/java/org/heatherreach/coordination/health/EjectionFloorTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/health/EjectionFloorTest.java
@@ -45,7 +45,8 @@
         }
     }
 
-    // Guards against a property that any version passes: the naive one breaks it by steps under which the product holds.
+    // Guards against a property that any version passes: the naive one breaks it by steps under which the product
+    // holds.
     @Example
     void naiveHealthBreaksTheFloorWherePooledHealthHoldsIt() {
         int[] brokenSteps = new int[2];
--- a/coordination/src/test/java/org/heatherreach/coordination/poison/SuspectRulesTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/poison/SuspectRulesTest.java
@@ -39,7 +39,8 @@
         assertThat(fleet.sharedPlacements).isZero();
     }
 
-    // Guards against a property that any version passes: the naive one breaks it by steps under which the product holds.
+    // Guards against a property that any version passes: the naive one breaks it by steps under which the product
+    // holds.
     @Example
     void naiveVersionPutsSuspectsTogetherWhereTheProductDoesNot() {
         int[] shared = new int[2];
