Derive the limit of the score from the rate of requests

Cause: one limit for all services costs services with few requests detection time; the cap per tick holds back failures that come together. Change: the limit is the logarithm of the requests in 20 hours, within 14 to 18; one tick adds at most half of the limit to the failure score.

--- a/coordination/src/main/java/org/heatherreach/coordination/health/HealthJudge.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/HealthJudge.java
@@ -25,7 +25,7 @@
  * Judges the servers of one service part from the pooled evidence of all daemons.
  *
  * <p>Each tick compares the new evidence of every server with its peers and adds the log likelihood ratio to scores per
- * server and scope. A server whose score exceeds the median score of its peers by {@link #SCORE_LIMIT} is ejected. So one
+ * server and scope. A server whose score exceeds the median score of its peers by a limit is ejected. So one
  * sample decides nothing, and a service that gets slow as a whole has no outlier.
  *
  * <p>Invariants: evidence of an observer that contradicts its peers over most servers is ignored; a fault that other
@@ -37,14 +37,21 @@
     public static final long GRACE_NANOS = TimeUnit.SECONDS.toNanos(15);
 
     /**
-     * The score at which a server is ejected. By Wald's bound a sequential test with limit h has at most one false alarm
-     * in exp(h) observations: 6.6e7 here, and an hour of a site of section 1.1 has about 1e7.
+     * The largest score at which a server is ejected. By Wald's bound a sequential test with limit h has at most one
+     * false alarm in exp(h) observations.
      */
     static final double SCORE_LIMIT = 18;
 
+    /** Above what a single exchange can add: one latency and two stalls at the largest weights. */
+    private static final double MIN_SCORE_LIMIT = 14;
+
+    /** The limit is the logarithm of the requests in this many hours, which a false alarm by Wald's bound takes. */
+    private static final double HOURS_PER_FALSE_ALARM = 20;
+
     /** During readmission the fault is already known, so less evidence suffices. */
-    private static final double STAGED_SCORE_LIMIT = SCORE_LIMIT / 2;
+    private static final double STAGED_LIMIT_FACTOR = 0.5;
 
+    private static final double TICKS_PER_HOUR = (double) TimeUnit.HOURS.toNanos(1) / EvidenceWindow.INTERVAL_NANOS;
     private static final long RENEWAL_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long EXCUSE_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final long PROBE_VALID_NANOS = TimeUnit.SECONDS.toNanos(5);
@@ -338,6 +345,7 @@
 
     private boolean judgeServers(List<HealthAction> actions, long nowNanos) {
         boolean changed = false;
+        double usualLimit = scoreLimit();
         double[] medians = new double[zones.size() + 1];
         for (int scope = 0; scope < medians.length; scope++) {
             medians[scope] = medianScore(scope);
@@ -346,13 +354,13 @@
             if (known.ejection(0).isEjected()) {
                 continue;
             }
-            double limit = known.ejection(0).isStaged() ? STAGED_SCORE_LIMIT : SCORE_LIMIT;
+            double limit = known.ejection(0).isStaged() ? usualLimit * STAGED_LIMIT_FACTOR : usualLimit;
             if (known.score(0) - medians[0] > limit) {
                 changed |= judgePooled(known, limit, actions, nowNanos);
             }
             for (int scope = 1; scope < known.scopes() && !known.ejection(0).isEjected(); scope++) {
                 Ejection ejection = known.ejection(scope);
-                double zoneLimit = ejection.isStaged() ? STAGED_SCORE_LIMIT : SCORE_LIMIT;
+                double zoneLimit = ejection.isStaged() ? usualLimit * STAGED_LIMIT_FACTOR : usualLimit;
                 if (!ejection.isEjected() && known.score(scope) - medians[scope] > zoneLimit) {
                     eject(known, scope, actions, nowNanos);
                     changed = true;
@@ -362,6 +370,12 @@
         return changed;
     }
 
+    private double scoreLimit() {
+        double requestsPerHour = reference.requestsPerTick() * TICKS_PER_HOUR;
+        double limit = Math.log(Math.max(1, requestsPerHour * HOURS_PER_FALSE_ALARM));
+        return Math.max(MIN_SCORE_LIMIT, Math.min(SCORE_LIMIT, limit));
+    }
+
     /** Ejects for every zone, unless some zone with traffic of its own sees the server as healthy. */
     private boolean judgePooled(ServerRecord known, double limit, List<HealthAction> actions, long nowNanos) {
         boolean vouched = false;
--- a/coordination/src/main/java/org/heatherreach/coordination/health/Reference.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/Reference.java
@@ -39,6 +39,7 @@
     private double historyMass;
     private double historyRequests;
     private double historyFailures;
+    private double historyTicks;
     private double failureWeight;
     private double successWeight;
     private double usualFailureRatio;
@@ -56,6 +57,7 @@
         }
         historyRequests *= HISTORY_DECAY;
         historyFailures *= HISTORY_DECAY;
+        historyTicks = historyTicks * HISTORY_DECAY + 1;
         for (ServerRecord record : peers) {
             // Leaving out slow servers would cut the tail out of the usual latency, so that healthy ones look slow.
             record.addRecentLatency(history, 1 - ServerRecord.RECENT_DECAY);
@@ -130,6 +132,11 @@
         successWeight = Math.log((1 - faulty) / (1 - usualFailureRatio));
     }
 
+    /** Returns the mean number of requests of unsuspected servers in a tick. */
+    double requestsPerTick() {
+        return historyRequests / Math.max(1, historyTicks);
+    }
+
     double usualFailureRatio() {
         return usualFailureRatio;
     }
--- a/coordination/src/main/java/org/heatherreach/coordination/health/ServerRecord.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/ServerRecord.java
@@ -13,10 +13,13 @@
     static final double RECENT_DECAY = 0.7;
 
     /**
-     * Limits what one tick adds to a score to a third of the limit, so that at least three ticks must agree. A pause of
-     * a healthy server that delays all its requests at once stays within one or two ticks.
+     * Limits what one tick adds to the latency score, so that at least three ticks must agree. A pause of a healthy
+     * server that delays all its requests at once stays within one or two ticks.
      */
-    private static final double MAX_STEP = HealthJudge.SCORE_LIMIT / 3;
+    private static final double MAX_LATENCY_STEP = HealthJudge.SCORE_LIMIT / 3;
+
+    /** Limits what one tick adds to the failure score, so that connections that broke together do not decide. */
+    private static final double MAX_FAILURE_STEP = HealthJudge.SCORE_LIMIT / 2;
 
     private final ServerId server;
     /** A small number that no other server of the part has. */
@@ -174,15 +177,15 @@
 
     void applySteps() {
         for (int i = 0; i < failureScores.length; i++) {
-            failureScores[i] = advance(failureScores[i], failureSteps[i]);
-            latencyScores[i] = advance(latencyScores[i], latencySteps[i]);
+            failureScores[i] = advance(failureScores[i], Math.min(MAX_FAILURE_STEP, failureSteps[i]));
+            latencyScores[i] = advance(latencyScores[i], Math.min(MAX_LATENCY_STEP, latencySteps[i]));
             failureSteps[i] = 0;
             latencySteps[i] = 0;
         }
     }
 
     private static double advance(double score, double step) {
-        return Math.max(0, Math.min(2 * HealthJudge.SCORE_LIMIT, score + Math.min(MAX_STEP, step)));
+        return Math.max(0, Math.min(2 * HealthJudge.SCORE_LIMIT, score + step));
     }
 
     void resetScores() {
