--- a/coordination/src/main/java/org/heatherreach/coordination/health/EvidenceWindow.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/EvidenceWindow.java
@@ -90,7 +90,8 @@
     /** Notes that the exchange failed. An exchange that is not open is ignored. */
     public void fail(long exchange, FailureKind kind, long nowNanos) {
         Exchange open = exchanges.remove(exchange);
-        if (open == null) {
+        // An exchange must not convict a server alone by being counted as a stall again when it is given up.
+        if (open == null || kind == FailureKind.STALLED && open.stallCounts > 0) {
             return;
         }
         Counts counts = countsOf(open.server);
@@ -98,14 +99,7 @@
         switch (kind) {
             case ERROR -> counts.errors++;
             case TRUNCATED -> counts.truncated++;
-            case STALLED -> {
-                // An exchange must not convict a server alone by being counted as a stall again when it is given up.
-                if (open.stallCounts == 0) {
-                    counts.stalled++;
-                } else {
-                    counts.requests--;
-                }
-            }
+            case STALLED -> counts.stalled++;
             case CONNECT -> counts.connectFailures++;
             default -> throw new IllegalArgumentException("unknown kind " + kind);
         }
--- a/coordination/src/main/java/org/heatherreach/coordination/health/Reference.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/Reference.java
@@ -29,6 +29,12 @@
     private static final double MAX_LATENCY_WEIGHT = 4;
 
     private static final double MIN_LATENCY_WEIGHT = -2;
+    /**
+     * A stalled exchange has been counted as late before, so it adds only what a stall is rarer than a late answer. With
+     * the weight of a failure, two long requests at once on a healthy server of two slots reach the limit.
+     */
+    private static final double STALL_WEIGHT = 1.75;
+
     private static final double SMOOTHING = 4;
     private static final double HISTORY_DECAY = 0.998;
     /** The history of failures leaves out servers with a higher score, or it learns from the fault to be found. */
@@ -143,7 +149,10 @@
 
     double weighFailures(ServerEvidence evidence) {
         int failures = Math.min(evidence.requests(), evidence.failures());
-        return failures * failureWeight + (evidence.requests() - failures) * successWeight;
+        int stalled = Math.min(failures, evidence.stalled());
+        return (failures - stalled) * failureWeight
+                + stalled * Math.min(STALL_WEIGHT, failureWeight)
+                + (evidence.requests() - failures) * successWeight;
     }
 
     double weighProbe(boolean successful) {
