--- a/bench/src/main/java/org/heatherreach/bench/BenchMain.java
+++ b/bench/src/main/java/org/heatherreach/bench/BenchMain.java
@@ -7,11 +7,14 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import org.heatherreach.bench.detection.CrashBenchmark;
 import org.heatherreach.bench.detection.DetectionBenchmark;
+import org.heatherreach.bench.detection.HealthCostBenchmark;
 
 /** Entry point of {@code bench}. Confined to the main thread. */
 public final class BenchMain {
-    private static final List<Benchmark> BENCHMARKS = List.of(new DetectionBenchmark());
+    private static final List<Benchmark> BENCHMARKS =
+            List.of(new DetectionBenchmark(), new CrashBenchmark(), new HealthCostBenchmark());
 
     @Parameter(names = "--seed", description = "Seed of every random choice")
     private long seed = 1;
