Compare observers before their reports shift what is usual

Cause: a faulty daemon was almost never found: its own evidence raised the usual failure ratio first, and its fast answers made up for its failures. Change: observers are weighed by the reference of the tick before, only trusted reports rebuild it, and fast answers do not excuse failures. An observer sees most servers failing from a ratio of 0.25 of its recent entries.

--- a/coordination/src/main/java/org/heatherreach/coordination/health/HealthJudge.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/HealthJudge.java
@@ -63,14 +63,14 @@
 
     private static final double VOUCH_SCORE = 2;
     /** An observer sees most of its servers as failing from this ratio on, if it is thrice that of its peers. */
-    private static final double OUTLIER_RATIO = 0.3;
+    private static final double OUTLIER_RATIO = 0.25;
 
     private static final double OUTLIER_FACTOR = 3;
     /** Reports that one observer may have waiting; more than one arrive in a tick only after a delay on the way. */
     private static final int MAX_PENDING_REPORTS = 8;
 
     /** The evidence of one observer for one server counts as failing above this log likelihood ratio. */
-    private static final double FAILING_STEP = 2;
+    private static final double FAILING_STEP = 1.5;
 
     private final ServiceId service;
     private final int part;
@@ -231,30 +231,17 @@
     }
 
     private void weighReports(List<HealthAction> actions, long nowNanos) {
-        for (ServerRecord known : records.values()) {
-            known.decayRecent();
-        }
+        // Observers are compared by what was usual before these reports, which a faulty one would shift.
         pending.forEach((observer, reports) -> {
-            if (!observers
-                    .computeIfAbsent(observer, key -> new ObserverRecord())
-                    .isOutlier()) {
-                reports.forEach(this::addRecent);
-            }
+            ObserverRecord record = observers.computeIfAbsent(observer, key -> new ObserverRecord());
+            reports.forEach(report -> weighObserver(record, report, nowNanos));
         });
-        List<ServerRecord> peers = new ArrayList<>(records.size());
-        for (ServerRecord known : records.values()) {
-            if (!known.isRestricted() && !known.hasGrace(nowNanos)) {
-                peers.add(known);
-            }
-        }
-        reference.rebuild(peers);
-        pending.forEach((observer, reports) ->
-                reports.forEach(report -> weighObserver(observers.get(observer), report, nowNanos)));
         Map<Integer, double[]> ratiosByZone = ratiosByZone();
         double[] allRatios = ratiosByZone.values().stream()
                 .flatMapToDouble(Arrays::stream)
                 .sorted()
                 .toArray();
+        List<HealthReport> trusted = new ArrayList<>();
         pending.forEach((observer, reports) -> {
             ObserverRecord record = observers.get(observer);
             boolean contradicts = contradictsPeers(record, ratiosByZone.get(record.zone()), allRatios);
@@ -264,9 +251,19 @@
                 actions.add(new HealthAction.ChangeObserver(observer, outlier));
             }
             if (!contradicts) {
-                reports.forEach(report -> weighServers(report, nowNanos));
+                trusted.addAll(reports);
             }
         });
+        List<ServerRecord> peers = new ArrayList<>(records.size());
+        for (ServerRecord known : records.values()) {
+            known.decayRecent();
+            if (!known.isRestricted() && !known.hasGrace(nowNanos)) {
+                peers.add(known);
+            }
+        }
+        trusted.forEach(this::addRecent);
+        reference.rebuild(peers);
+        trusted.forEach(report -> weighServers(report, nowNanos));
     }
 
     private void addRecent(HealthReport report) {
@@ -289,7 +286,8 @@
             if (known == null || known.isRestricted() || known.hasGrace(nowNanos)) {
                 continue;
             }
-            double step = reference.weighFailures(evidence) + reference.weighLatencies(evidence);
+            // Fast answers do not excuse failures, or a daemon that loses half of its responses looks healthy.
+            double step = reference.weighFailures(evidence) + Math.max(0, reference.weighLatencies(evidence));
             sum += step;
             observer.noteServer(known.index(), step > FAILING_STEP);
         }
