--- a/bench/src/main/java/org/heatherreach/bench/BenchMain.java
+++ b/bench/src/main/java/org/heatherreach/bench/BenchMain.java
@@ -9,13 +9,15 @@
 import com.beust.jcommander.ParameterException;
 import org.heatherreach.bench.capacity.ProcessCostBenchmark;
 import org.heatherreach.bench.capacity.TableCostBenchmark;
+import org.heatherreach.bench.detection.CrashBenchmark;
 import org.heatherreach.bench.detection.DetectionBenchmark;
+import org.heatherreach.bench.detection.HealthCostBenchmark;
 import org.heatherreach.bench.slot.Floods;
 import org.heatherreach.bench.slot.SlotCost;
 
 /** Entry point of {@code bench}. Confined to the main thread. */
 public final class BenchMain {
-    private static final List<Benchmark> BENCHMARKS = List.of(new Floods(), new DetectionBenchmark(), new TableCostBenchmark(), new ProcessCostBenchmark(), new LatencyBenchmark(), new SlotCost());
+    private static final List<Benchmark> BENCHMARKS = List.of(new Floods(), new DetectionBenchmark(), new TableCostBenchmark(), new ProcessCostBenchmark(), new LatencyBenchmark(), new SlotCost(), new CrashBenchmark(), new HealthCostBenchmark());
 
     @Parameter(names = "--seed", description = "Seed of every random choice")
     private long seed = 1;
--- a/coordination/src/main/java/org/heatherreach/coordination/health/HealthJudge.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/HealthJudge.java
@@ -25,7 +25,7 @@
  * Judges the servers of one service part from the pooled evidence of all daemons.
  *
  * <p>Each tick compares the new evidence of every server with its peers and adds the log likelihood ratio to scores per
- * server and scope. A server whose score exceeds the median score of its peers by {@link #SCORE_LIMIT} is ejected. So one
+ * server and scope. A server whose score exceeds the median score of its peers by a limit is ejected. So one
  * sample decides nothing, and a service that gets slow as a whole has no outlier.
  *
  * <p>Invariants: evidence of an observer that contradicts its peers over most servers is ignored; a fault that other
@@ -37,14 +37,21 @@
     public static final long GRACE_NANOS = TimeUnit.SECONDS.toNanos(15);
 
     /**
-     * The score at which a server is ejected. By Wald's bound a sequential test with limit h has at most one false alarm
-     * in exp(h) observations: 6.6e7 here, and an hour of a site of section 1.1 has about 1e7.
+     * The largest score at which a server is ejected. By Wald's bound a sequential test with limit h has at most one
+     * false alarm in exp(h) observations.
      */
     static final double SCORE_LIMIT = 18;
 
+    /** Above what a single exchange can add: one latency and two stalls at the largest weights. */
+    private static final double MIN_SCORE_LIMIT = 14;
+
+    /** The limit is the logarithm of the requests in this many hours, which a false alarm by Wald's bound takes. */
+    private static final double HOURS_PER_FALSE_ALARM = 20;
+
     /** During readmission the fault is already known, so less evidence suffices. */
-    private static final double STAGED_SCORE_LIMIT = SCORE_LIMIT / 2;
+    private static final double STAGED_LIMIT_FACTOR = 0.5;
 
+    private static final double TICKS_PER_HOUR = (double) TimeUnit.HOURS.toNanos(1) / EvidenceWindow.INTERVAL_NANOS;
     private static final long RENEWAL_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long EXCUSE_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final long PROBE_VALID_NANOS = TimeUnit.SECONDS.toNanos(5);
@@ -56,14 +63,14 @@
 
     private static final double VOUCH_SCORE = 2;
     /** An observer sees most of its servers as failing from this ratio on, if it is thrice that of its peers. */
-    private static final double OUTLIER_RATIO = 0.3;
+    private static final double OUTLIER_RATIO = 0.25;
 
     private static final double OUTLIER_FACTOR = 3;
     /** Reports that one observer may have waiting; more than one arrive in a tick only after a delay on the way. */
     private static final int MAX_PENDING_REPORTS = 8;
 
     /** The evidence of one observer for one server counts as failing above this log likelihood ratio. */
-    private static final double FAILING_STEP = 2;
+    private static final double FAILING_STEP = 1.5;
 
     private final ServiceId service;
     private final int part;
@@ -224,30 +231,17 @@
     }
 
     private void weighReports(List<HealthAction> actions, long nowNanos) {
-        for (ServerRecord known : records.values()) {
-            known.decayRecent();
-        }
+        // Observers are compared by what was usual before these reports, which a faulty one would shift.
         pending.forEach((observer, reports) -> {
-            if (!observers
-                    .computeIfAbsent(observer, key -> new ObserverRecord())
-                    .isOutlier()) {
-                reports.forEach(this::addRecent);
-            }
+            ObserverRecord record = observers.computeIfAbsent(observer, key -> new ObserverRecord());
+            reports.forEach(report -> weighObserver(record, report, nowNanos));
         });
-        List<ServerRecord> peers = new ArrayList<>(records.size());
-        for (ServerRecord known : records.values()) {
-            if (!known.isRestricted() && !known.hasGrace(nowNanos)) {
-                peers.add(known);
-            }
-        }
-        reference.rebuild(peers);
-        pending.forEach((observer, reports) ->
-                reports.forEach(report -> weighObserver(observers.get(observer), report, nowNanos)));
         Map<Integer, double[]> ratiosByZone = ratiosByZone();
         double[] allRatios = ratiosByZone.values().stream()
                 .flatMapToDouble(Arrays::stream)
                 .sorted()
                 .toArray();
+        List<HealthReport> trusted = new ArrayList<>();
         pending.forEach((observer, reports) -> {
             ObserverRecord record = observers.get(observer);
             boolean contradicts = contradictsPeers(record, ratiosByZone.get(record.zone()), allRatios);
@@ -257,9 +251,19 @@
                 actions.add(new HealthAction.ChangeObserver(observer, outlier));
             }
             if (!contradicts) {
-                reports.forEach(report -> weighServers(report, nowNanos));
+                trusted.addAll(reports);
             }
         });
+        List<ServerRecord> peers = new ArrayList<>(records.size());
+        for (ServerRecord known : records.values()) {
+            known.decayRecent();
+            if (!known.isRestricted() && !known.hasGrace(nowNanos)) {
+                peers.add(known);
+            }
+        }
+        trusted.forEach(this::addRecent);
+        reference.rebuild(peers);
+        trusted.forEach(report -> weighServers(report, nowNanos));
     }
 
     private void addRecent(HealthReport report) {
@@ -282,7 +286,8 @@
             if (known == null || known.isRestricted() || known.hasGrace(nowNanos)) {
                 continue;
             }
-            double step = reference.weighFailures(evidence) + reference.weighLatencies(evidence);
+            // Fast answers do not excuse failures, or a daemon that loses half of its responses looks healthy.
+            double step = reference.weighFailures(evidence) + Math.max(0, reference.weighLatencies(evidence));
             sum += step;
             observer.noteServer(known.index(), step > FAILING_STEP);
         }
@@ -338,6 +343,7 @@
 
     private boolean judgeServers(List<HealthAction> actions, long nowNanos) {
         boolean changed = false;
+        double usualLimit = scoreLimit();
         double[] medians = new double[zones.size() + 1];
         for (int scope = 0; scope < medians.length; scope++) {
             medians[scope] = medianScore(scope);
@@ -346,13 +352,13 @@
             if (known.ejection(0).isEjected()) {
                 continue;
             }
-            double limit = known.ejection(0).isStaged() ? STAGED_SCORE_LIMIT : SCORE_LIMIT;
+            double limit = known.ejection(0).isStaged() ? usualLimit * STAGED_LIMIT_FACTOR : usualLimit;
             if (known.score(0) - medians[0] > limit) {
                 changed |= judgePooled(known, limit, actions, nowNanos);
             }
             for (int scope = 1; scope < known.scopes() && !known.ejection(0).isEjected(); scope++) {
                 Ejection ejection = known.ejection(scope);
-                double zoneLimit = ejection.isStaged() ? STAGED_SCORE_LIMIT : SCORE_LIMIT;
+                double zoneLimit = ejection.isStaged() ? usualLimit * STAGED_LIMIT_FACTOR : usualLimit;
                 if (!ejection.isEjected() && known.score(scope) - medians[scope] > zoneLimit) {
                     eject(known, scope, actions, nowNanos);
                     changed = true;
@@ -362,6 +368,12 @@
         return changed;
     }
 
+    private double scoreLimit() {
+        double requestsPerHour = reference.requestsPerTick() * TICKS_PER_HOUR;
+        double limit = Math.log(Math.max(1, requestsPerHour * HOURS_PER_FALSE_ALARM));
+        return Math.max(MIN_SCORE_LIMIT, Math.min(SCORE_LIMIT, limit));
+    }
+
     /** Ejects for every zone, unless some zone with traffic of its own sees the server as healthy. */
     private boolean judgePooled(ServerRecord known, double limit, List<HealthAction> actions, long nowNanos) {
         boolean vouched = false;
--- a/coordination/src/main/java/org/heatherreach/coordination/health/Reference.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/Reference.java
@@ -29,9 +29,15 @@
     private static final double MAX_LATENCY_WEIGHT = 4;
 
     private static final double MIN_LATENCY_WEIGHT = -2;
+    /**
+     * A stalled exchange has been counted as late before, so it adds only what a stall is rarer than a late answer. With
+     * the weight of a failure, two long requests at once on a healthy server of two slots reach the limit.
+     */
+    private static final double STALL_WEIGHT = 1.75;
+
     private static final double SMOOTHING = 4;
     private static final double HISTORY_DECAY = 0.998;
-    /** A server with a higher score is not added to the history, which else learns from the fault to be found. */
+    /** The history of failures leaves out servers with a higher score, or it learns from the fault to be found. */
     private static final double MAX_HISTORY_SCORE = 1;
 
     private final double[] history = new double[LatencyBuckets.COUNT];
@@ -39,6 +45,7 @@
     private double historyMass;
     private double historyRequests;
     private double historyFailures;
+    private double historyTicks;
     private double failureWeight;
     private double successWeight;
     private double usualFailureRatio;
@@ -56,9 +63,11 @@
         }
         historyRequests *= HISTORY_DECAY;
         historyFailures *= HISTORY_DECAY;
+        historyTicks = historyTicks * HISTORY_DECAY + 1;
         for (ServerRecord record : peers) {
-            if (record.score(0) <= MAX_HISTORY_SCORE) {
-                record.addRecentLatency(history, 1 - ServerRecord.RECENT_DECAY);
+            // Leaving out slow servers would cut the tail out of the usual latency, so that healthy ones look slow.
+            record.addRecentLatency(history, 1 - ServerRecord.RECENT_DECAY);
+            if (record.failureScore(0) <= MAX_HISTORY_SCORE) {
                 historyRequests += record.recentRequests() * (1 - ServerRecord.RECENT_DECAY);
                 historyFailures += record.recentFailures() * (1 - ServerRecord.RECENT_DECAY);
             }
@@ -129,13 +138,21 @@
         successWeight = Math.log((1 - faulty) / (1 - usualFailureRatio));
     }
 
+    /** Returns the mean number of requests of unsuspected servers in a tick. */
+    double requestsPerTick() {
+        return historyRequests / Math.max(1, historyTicks);
+    }
+
     double usualFailureRatio() {
         return usualFailureRatio;
     }
 
     double weighFailures(ServerEvidence evidence) {
         int failures = Math.min(evidence.requests(), evidence.failures());
-        return failures * failureWeight + (evidence.requests() - failures) * successWeight;
+        int stalled = Math.min(failures, evidence.stalled());
+        return (failures - stalled) * failureWeight
+                + stalled * Math.min(STALL_WEIGHT, failureWeight)
+                + (evidence.requests() - failures) * successWeight;
     }
 
     double weighProbe(boolean successful) {
