--- a/bench/src/main/java/org/heatherreach/bench/capacity/ProcessCostBenchmark.java
+++ b/bench/src/main/java/org/heatherreach/bench/capacity/ProcessCostBenchmark.java
@@ -48,6 +48,7 @@
             fleet.startStore();
             fleet.startBackends("benchdesk", 2, 3, 330);
             fleet.startDaemons(count, 3);
+            fleet.applyTable(3, 330);
             sleep(WARM_MILLIS);
             List<TrialFleet.Daemon> daemons = fleet.daemons();
             double cpuSeconds = 0;
--- a/bench/src/main/java/org/heatherreach/bench/trial/ProgramProcess.java
+++ b/bench/src/main/java/org/heatherreach/bench/trial/ProgramProcess.java
@@ -67,6 +67,25 @@
         }
     }
 
+    /** Waits for the end of the process and returns whether it ended in time with exit code 0. */
+    public boolean awaitSuccess(int timeoutMillis) {
+        try {
+            return process.waitFor(timeoutMillis, TimeUnit.MILLISECONDS) && process.exitValue() == 0;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /**
+     * Returns what the process has printed.
+     *
+     * @throws IOException if the output can't be read
+     */
+    public String output() throws IOException {
+        return Files.readString(output);
+    }
+
     /** Returns whether the output has a line that starts with the given text. */
     public boolean hasPrinted(String start) {
         try {
--- a/bench/src/main/java/org/heatherreach/bench/trial/QuickstartMain.java
+++ b/bench/src/main/java/org/heatherreach/bench/trial/QuickstartMain.java
@@ -59,6 +59,8 @@
         fleet.startBackends(ORDERS, 4, 3, 330);
         fleet.startBackends(LIBRARY, 3, 3, 330);
         fleet.startDaemons(3, 3);
+        System.out.println("Applying a sample table with the operators' tool");
+        fleet.applyTable(3, 330);
         TrialCaller caller = new TrialCaller(
                 fleet.daemons().stream().map(TrialFleet.Daemon::address).toList());
         startSenders(caller);
--- a/bench/src/main/java/org/heatherreach/bench/trial/TrialFleet.java
+++ b/bench/src/main/java/org/heatherreach/bench/trial/TrialFleet.java
@@ -14,6 +14,7 @@
 
 import org.heatherreach.daemon.DaemonMain;
 import org.heatherreach.standins.StandInMain;
+import org.heatherreach.tools.ToolMain;
 
 /**
  * The processes of one small site on loopback: a key-value service, backend servers of two services, and daemons in
@@ -131,6 +132,39 @@
         }
     }
 
+    /**
+     * Applies a table for the backend servers with the operators' tool and waits until it is in force everywhere.
+     *
+     * @throws IOException if the tool does not confirm that
+     */
+    public void applyTable(int slots, int connections) throws IOException {
+        Path table = directory.resolve("table.csv");
+        StringBuilder csv = new StringBuilder("row,weight,guarantee_percent,queue_limit,timeout_ms,floor_percent,slots,"
+                + "connections,retry_percent\n");
+        for (String service : backendsByService.keySet()) {
+            csv.append("service:").append(service).append(",,,,,50,").append(slots);
+            csv.append(',').append(connections).append(",10\n");
+        }
+        csv.append("rank:urgent,1,50,1000,5000,,,,\nrank:standard,1,20,1000,10000,,,,\n");
+        csv.append("rank:bulk,1,10,1000,30000,,,,\n");
+        Files.writeString(table, csv);
+        ProgramProcess tool = start(
+                "tool",
+                ToolMain.class,
+                List.of(
+                        "apply",
+                        table.toString(),
+                        "--base",
+                        "0",
+                        "--store",
+                        HOST + ':' + storePort,
+                        "--daemons",
+                        String.join(",", daemons.stream().map(Daemon::address).toList())));
+        if (!tool.awaitSuccess(READY_MILLIS)) {
+            throw new IOException("the table was not applied: " + tool.output());
+        }
+    }
+
     /** Returns the port of the key-value service. */
     public int storePort() {
         return storePort;
--- a/daemon/src/main/java/org/heatherreach/daemon/StandaloneParts.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/StandaloneParts.java
@@ -35,8 +35,7 @@
                 new IncarnationId(ThreadLocalRandom.current().nextLong()),
                 catalog,
                 scheduler,
-                port -> new SettingsAddressBook(
-                        settings.addresses(), new DaemonAddress(settings.daemon(), host, port, settings.zone()), gate),
+                port -> addressBook(settings, gate, port),
                 Option.none(),
                 ExchangeObserver.NONE,
                 (service, fingerprint) -> false,
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/TableCatalog.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/TableCatalog.java
@@ -31,7 +31,7 @@
     @Override
     public Option<ServiceId> route(String path) {
         TableInForce table = current;
-        return table == null ? settings.route(path) : table.table().route(path).map(route -> route.service());
+        return table == null ? Option.none() : table.table().route(path).map(route -> route.service());
     }
 
     @Override
