--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/FleetDaemon.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/FleetDaemon.java
@@ -121,9 +121,7 @@
         recordDuty.register(router);
         scheduleDuty.register(router);
         healthDuty.register(router);
-        vmList = fleet.vmList()
-                .map(address ->
-                        new VmList(address, servers, fleet.peerAddress().port(), memberDuty::changeListed, registry));
+        vmList = fleet.vmList().map(address -> new VmList(address, servers, memberDuty::changeListed, registry));
         FleetStatus status = new FleetStatus(directory, catalog, tableDuty, gate);
         Map<String, Endpoint> endpoints = new HashMap<>(recordDuty.endpoints());
         endpoints.putAll(new OperatorEndpoints(self.daemon(), healthDuty, status, drain).byPath());
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/VmList.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/VmList.java
@@ -34,7 +34,7 @@
  * <p>Thread safety: safe for use by any thread. The listeners are called by event loops.
  */
 public final class VmList implements AutoCloseable {
-    /** Entries of this service are daemon VMs, whose address is that for callers. */
+    /** Entries of this service are daemon VMs, whose address is that for peers. */
     public static final String DAEMON_SERVICE = "heatherreach";
 
     private static final Logger LOG = Logger.getLogger(VmList.class);
@@ -44,26 +44,19 @@
     private final HttpClient client;
     private final ObjectMapper mapper = new ObjectMapper();
     private final ServerDirectory servers;
-    private final int peerPort;
     private final Consumer<List<MemberAddress>> daemonListener;
     private final Counter failures;
     private final Counter invalidEntries;
     private volatile Disposable polling;
     private volatile boolean readable = true;
 
-    /**
-     * Creates a poller; {@link #start} starts it.
-     *
-     * @param peerPort the port at which listed daemons are contacted; all daemons of a fleet use the same one
-     */
+    /** Creates a poller; {@link #start} starts it. */
     public VmList(
             InetSocketAddress address,
             ServerDirectory servers,
-            int peerPort,
             Consumer<List<MemberAddress>> daemonListener,
             MeterRegistry registry) {
         this.servers = Objects.requireNonNull(servers, "servers");
-        this.peerPort = peerPort;
         this.daemonListener = Objects.requireNonNull(daemonListener, "daemonListener");
         this.client = HttpClient.create().remoteAddress(() -> address).responseTimeout(TIMEOUT);
         this.failures = registry.counter("heatherreach.vms.failures");
@@ -135,7 +128,7 @@
                 found.computeIfAbsent(new ServiceId(service), key -> new ArrayList<>())
                         .add(new ListedServer(server, leaving));
             } else if (!leaving) {
-                daemons.add(new MemberAddress(host, peerPort));
+                daemons.add(new MemberAddress(host, port));
             }
         } catch (IllegalArgumentException e) {
             invalidEntries.increment();
--- a/daemon/src/test/java/org/heatherreach/daemon/ShutdownTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/ShutdownTest.java
@@ -18,6 +18,8 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import io.vavr.control.Option;
+
 import net.jqwik.api.Example;
 import org.heatherreach.state.id.DaemonId;
 import org.heatherreach.state.id.RegionId;
@@ -157,6 +159,7 @@
                 LogFormat.HUMAN,
                 LogLevel.ERROR,
                 Map.of(SERVICE, service),
-                Map.of("/", SERVICE));
+                Map.of("/", SERVICE),
+                Option.none());
     }
 }
