--- a/daemon/src/main/java/org/heatherreach/daemon/AddressAnswer.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/AddressAnswer.java
@@ -2,13 +2,15 @@
 
 import java.util.List;
 
+import io.vavr.control.Option;
+import org.heatherreach.state.id.ServiceId;
 import org.heatherreach.transport.http.AddressBook;
 import org.heatherreach.transport.http.DaemonAddress;
 
 /** Writes the answer of the addresses endpoint. Safe for use by any thread. */
 final class AddressAnswer {
     private final long keepMillis;
-    private volatile AddressBook book = List::of;
+    private volatile AddressBook book = service -> List.of();
 
     AddressAnswer(long keepMillis) {
         this.keepMillis = keepMillis;
@@ -20,10 +22,10 @@
     }
 
     /** Returns the JSON text; names and zones are restricted to characters that need no escape. */
-    String text(long nowEpochMillis) {
+    String text(Option<ServiceId> service, long nowEpochMillis) {
         StringBuilder json = new StringBuilder("{\"addresses\":[");
         String separator = "";
-        for (DaemonAddress address : book.addresses()) {
+        for (DaemonAddress address : book.addresses(service)) {
             json.append(separator)
                     .append("{\"daemon\":\"")
                     .append(address.daemon())
--- a/daemon/src/main/java/org/heatherreach/daemon/HttpDaemon.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/HttpDaemon.java
@@ -9,8 +9,10 @@
 import java.util.function.Supplier;
 
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.vavr.control.Option;
 import org.heatherreach.state.id.IncarnationId;
 import org.heatherreach.state.id.RequestId;
+import org.heatherreach.state.id.ServiceId;
 import org.heatherreach.transport.http.CallerServer;
 import org.heatherreach.transport.http.Endpoint;
 import org.heatherreach.transport.http.EndpointAnswer;
@@ -62,10 +64,8 @@
         Map<String, Endpoint> endpoints = new LinkedHashMap<>(parts.endpoints());
         endpoints.put("GET /heatherreach/health", (argument, body) -> Mono.just(health()));
         endpoints.put("GET /heatherreach/metrics", (argument, body) -> Mono.fromSupplier(this::scrape));
-        endpoints.put(
-                "GET /heatherreach/addresses",
-                (argument, body) ->
-                        Mono.just(EndpointAnswer.json(200, addressAnswer.text(System.currentTimeMillis()))));
+        endpoints.put("GET /heatherreach/addresses", (argument, body) -> Mono.just(addresses("")));
+        endpoints.put("GET /heatherreach/addresses/", (argument, body) -> Mono.just(addresses(argument)));
         this.server = new CallerServer(settings.listen(), settings.ioThreads(), proxyParts, endpoints);
         addressAnswer.use(parts.addressBook().apply(server.port()));
         LOG.infof(
@@ -142,6 +142,11 @@
                         + meters.inFlight() + "}\n");
     }
 
+    private EndpointAnswer addresses(String service) {
+        Option<ServiceId> wanted = service.isBlank() ? Option.none() : Option.of(new ServiceId(service));
+        return EndpointAnswer.json(200, addressAnswer.text(wanted, System.currentTimeMillis()));
+    }
+
     private EndpointAnswer scrape() {
         return new EndpointAnswer(
                 200,
--- a/daemon/src/main/java/org/heatherreach/daemon/SettingsAddressBook.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/SettingsAddressBook.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Objects;
 
+import io.vavr.control.Option;
+import org.heatherreach.state.id.ServiceId;
 import org.heatherreach.transport.http.AddressBook;
 import org.heatherreach.transport.http.DaemonAddress;
 import org.heatherreach.transport.http.ServingGate;
@@ -24,7 +26,7 @@
     }
 
     @Override
-    public List<DaemonAddress> addresses() {
+    public List<DaemonAddress> addresses(Option<ServiceId> service) {
         List<DaemonAddress> all = new ArrayList<>();
         if (gate.isListed()) {
             all.add(own);
