Close a caller's connection only after its answer could be read

An answer that ends the connection says so, unread input no longer resets the connection before the answer is read, and a body is read to its end even if its request was refused meanwhile.

--- a/transport/src/main/java/org/heatherreach/transport/http/BackendAttempt.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/BackendAttempt.java
@@ -7,7 +7,6 @@
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -47,7 +46,7 @@
     private final Relay relay;
     private final AtomicBoolean ended = new AtomicBoolean();
     private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.NEW);
-    private volatile Channel channel;
+    private volatile Connection connection;
     private volatile BackendGuard guard;
     private volatile boolean requestSent;
     private volatile boolean shed;
@@ -119,9 +118,13 @@
         // Decides the race with write(): after this line either the request is never written or it counts as begun.
         stage.compareAndSet(Stage.NEW, Stage.ABANDONED);
         end(kind);
-        Channel open = channel;
+        Connection open = connection;
         if (open != null && !finished) {
-            open.close();
+            open.channel().eventLoop().execute(() -> {
+                // Releases what arrived before the response had a receiver; a second receiver is an error and harmless.
+                open.inbound().receive().subscribe(part -> {}, error -> {}).dispose();
+                open.channel().close();
+            });
         }
     }
 
@@ -162,32 +165,32 @@
                 .then();
     }
 
-    private void bind(Connection connection) {
-        channel = connection.channel();
-        guard = channel.pipeline().get(BackendGuard.class);
+    private void bind(Connection bound) {
+        connection = bound;
+        guard = bound.channel().pipeline().get(BackendGuard.class);
         guard.begin(request.method());
     }
 
-    private Publisher<Answer> read(HttpClientResponse response, Connection connection) {
+    private Publisher<Answer> read(HttpClientResponse response, Connection open) {
         headNanos = System.nanoTime();
         statusCode = response.status().code();
         HttpHeaders headers = new DefaultHttpHeaders();
         HopHeaders.copy(response.responseHeaders(), headers, forwardedBy.isEmpty() ? CallHeaders.PREFIX : "");
         if (forwardedBy.isEmpty() && isShed(response)) {
-            return drainShed(response, connection);
+            return drainShed(response, open);
         }
         String echoedId = response.responseHeaders().get(CallHeaders.REQUEST_ID);
         if (echoedId != null && !echoedId.equals(request.requestId().value())) {
             // The answer to this request may still arrive, and must not meet the next request on this connection.
             guard.distrust();
             return discard(
-                    connection,
+                    open,
                     new BackendFailure(FailureKind.TRUNCATED, "the response names another request " + echoedId, 0));
         }
         if (guard.isUnframed()) {
             guard.distrust();
             return discard(
-                    connection,
+                    open,
                     new BackendFailure(
                             FailureKind.TRUNCATED,
                             "the response states no length, so its end can't be told from a break",
@@ -198,21 +201,19 @@
                 ? Long.parseLong(headers.get(HttpHeaderNames.CONTENT_LENGTH))
                 : -1;
         if (bodyless) {
-            return connection
-                    .inbound()
+            return open.inbound()
                     .receive()
                     .then(Mono.fromSupplier(() -> whole(new Answer.Whole(statusCode, headers, NO_BYTES, true))));
         }
         if (lengthBytes >= 0 && lengthBytes <= limits.retainedBodyBytes()) {
-            return connection
-                    .inbound()
+            return open.inbound()
                     .receive()
                     .aggregate()
                     .asByteArray()
                     .defaultIfEmpty(NO_BYTES)
                     .map(bytes -> whole(new Answer.Whole(statusCode, headers, bytes, false)));
         }
-        Flux<ByteBuf> content = connection.inbound().receive().retain().doOnComplete(this::complete);
+        Flux<ByteBuf> content = open.inbound().receive().retain().doOnComplete(this::complete);
         return relay.stream(statusCode, headers, content.onErrorMap(this::convert));
     }
 
@@ -223,7 +224,7 @@
                 && "true".equals(headers.get(CallHeaders.BACKEND_SHED));
     }
 
-    private Publisher<Answer> drainShed(HttpClientResponse response, Connection connection) {
+    private Publisher<Answer> drainShed(HttpClientResponse response, Connection open) {
         shed = true;
         BackendFailure failure = new BackendFailure(
                 FailureKind.SHED,
@@ -231,10 +232,9 @@
                 retryAfterMillis(response.responseHeaders().get(HttpHeaderNames.RETRY_AFTER)));
         String length = response.responseHeaders().get(HttpHeaderNames.CONTENT_LENGTH);
         if (length == null || length.length() > DRAINED_SHED_DIGITS) {
-            return discard(connection, failure);
+            return discard(open, failure);
         }
-        return connection
-                .inbound()
+        return open.inbound()
                 .receive()
                 .then(Mono.defer(() -> {
                     finished = true;
@@ -244,8 +244,8 @@
     }
 
     /** Releases what was received, which would otherwise stay queued, and ends the exchange with a failure. */
-    private static Mono<Answer> discard(Connection connection, BackendFailure failure) {
-        connection.inbound().receive().subscribe().dispose();
+    private static Mono<Answer> discard(Connection open, BackendFailure failure) {
+        open.inbound().receive().subscribe().dispose();
         return Mono.error(failure);
     }
 
@@ -265,7 +265,7 @@
     private void complete() {
         finished = true;
         if (!requestSent) {
-            channel.close();
+            connection.channel().close();
         }
         end(statusCode >= 500 ? FailureKind.ERROR : FailureKind.NONE);
     }
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -25,6 +26,7 @@
 import org.heatherreach.state.outcome.Outcome;
 import org.heatherreach.state.outcome.RefusalReason;
 import org.heatherreach.state.outcome.RetryReason;
+import org.jboss.logging.Logger;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -42,6 +44,7 @@
  * loops; the phase decides races between them, the deadline and faults of the caller.
  */
 final class CallerExchange {
+    private static final Logger LOG = Logger.getLogger(CallerExchange.class);
     private static final AtomicLong TICKETS = new AtomicLong();
     private static final LongHashFunction HASH = LongHashFunction.xx3();
 
@@ -65,6 +68,7 @@
     private final Sinks.One<Answer> interruption = Sinks.one();
     private final Set<ServerId> tried = new HashSet<>();
     private final AtomicBoolean keyOpen = new AtomicBoolean();
+    private final Consumer<RefusalReason> faultListener = this::failBody;
     private long fingerprint;
     private volatile boolean earlierAttemptMayHaveRun;
     private volatile BackendAttempt attempt;
@@ -98,10 +102,11 @@
     Mono<Void> run() {
         long delayNanos = request.deadlineNanos() - System.nanoTime();
         deadlineTimer = channel.eventLoop().schedule(this::passDeadline, delayNanos, TimeUnit.NANOSECONDS);
-        guard.listenForBodyFault(this::failBody);
+        guard.listenForBodyFault(faultListener);
         Mono<Answer> work = Mono.firstWithSignal(
                         readBody().flatMap(this::decide).onErrorResume(this::refuseFault), interruption.asMono())
                 .doOnNext(this::finishKey);
+        // A request with a key goes on when its caller leaves, so that a repetition finds the response.
         Mono<Answer> answer = request.key().isDefined() ? detached(work) : work;
         return answer.onErrorResume(error -> onLoop(Mono.defer(() -> {
                     resetCaller();
@@ -112,10 +117,10 @@
                 .doFinally(signal -> release());
     }
 
-    /** Keeps a request with a key running when its caller leaves, so that a repetition finds the response. */
-    private Mono<Answer> detached(Mono<Answer> work) {
+    /** Returns the result of work that goes on if nobody waits for the result any more. */
+    private static <T> Mono<T> detached(Mono<T> work) {
         return Mono.defer(() -> {
-            Sinks.One<Answer> result = Sinks.one();
+            Sinks.One<T> result = Sinks.one();
             work.subscribe(result::tryEmitValue, result::tryEmitError, result::tryEmitEmpty);
             return result.asMono();
         });
@@ -137,9 +142,11 @@
             return Mono.error(new RequestRefusal(RefusalReason.BODY_TOO_LARGE));
         }
         if (keyed || (!chunked && lengthBytes <= parts.limits().retainedBodyBytes())) {
-            return checked(limitBytes)
+            // Read to its end even if the request is refused meanwhile: a body that is left half consumed would leave
+            // the HTTP server waiting for it, or make it reset the connection before the answer is written.
+            return detached(checked(limitBytes)
                     .collect(ByteArrayOutputStream::new, CallerExchange::append)
-                    .map(all -> RequestBody.retained(all.toByteArray()));
+                    .map(all -> RequestBody.retained(all.toByteArray())));
         }
         return Mono.just(RequestBody.streamed(checked(limitBytes).map(ByteBuf::retain), chunked ? -1 : lengthBytes));
     }
@@ -447,7 +454,12 @@
                 return refuse(refused.reason(), 0);
             }));
         }
-        return Mono.error(error);
+        // A fault of the daemon itself: the caller is told what is known instead of a bare error.
+        LOG.errorf(error, "The exchange of request %s failed", request.requestId());
+        return onLoop(Mono.defer(() -> {
+            stopWork(FailureKind.CANCELLED);
+            return refuse(RefusalReason.SERVER_LOST, 0);
+        }));
     }
 
     private Mono<Void> deliver(Answer answer) {
@@ -495,7 +507,7 @@
     }
 
     private boolean isClosing() {
-        return parts.gate().isDraining();
+        return parts.gate().isDraining() || guard.isClosing();
     }
 
     private boolean enter(Phase next) {
@@ -565,7 +577,7 @@
     }
 
     private void release() {
-        guard.listenForBodyFault(null);
+        guard.stopListening(faultListener);
         if (!executed || !callerGone) {
             deadlineTimer.cancel(false);
         }
@@ -592,6 +604,7 @@
     private void resetCaller() {
         if (channel.isActive()) {
             parts.meters().countCallerReset();
+            guard.closeWithoutLinger();
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
             channel.close();
         }
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerGuard.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerGuard.java
@@ -43,8 +43,11 @@
     private final MessageScanner scanner;
     private ChannelHandlerContext context;
     private int outstanding;
+    private boolean inBody;
     private boolean discarding;
     private boolean closeAfterResponse;
+    private boolean lingering;
+    private boolean closeAtOnce;
     private RefusalReason pendingRefusal;
     private Consumer<RefusalReason> bodyFaultListener;
     private ScheduledFuture<?> headTimer;
@@ -64,16 +67,33 @@
         return new ResponseTracker();
     }
 
-    /** Sets who is told when the body of the current request is malformed or stalls; null for nobody. */
+    /** Sets who is told when the body of the current request is malformed or stalls. */
     void listenForBodyFault(Consumer<RefusalReason> listener) {
         bodyFaultListener = listener;
     }
 
+    /** Ends the telling, unless the next request on the connection has already begun to listen. */
+    void stopListening(Consumer<RefusalReason> listener) {
+        if (bodyFaultListener == listener) {
+            bodyFaultListener = null;
+        }
+    }
+
     /** Ends the connection once the current response is written, and ignores whatever else the caller sends. */
     void closeAfterResponse() {
         closeAfterResponse = true;
     }
 
+    /** Returns whether the connection ends with the current response, which then has to say so. */
+    boolean isClosing() {
+        return closeAfterResponse;
+    }
+
+    /** Lets the next close take effect at once, and reset the connection if it is set up so. */
+    void closeWithoutLinger() {
+        closeAtOnce = true;
+    }
+
     /** Returns whether the body of the current request has not arrived completely. */
     boolean isBodyOpen() {
         return scanner.state() == MessageScanner.State.BODY;
@@ -102,6 +122,17 @@
         }
     }
 
+    @Override
+    public void close(ChannelHandlerContext ctx, ChannelPromise promise) throws Exception {
+        if (closeAfterResponse && !closeAtOnce) {
+            // The HTTP server closes after an answer that ends its connection, but the caller may still be sending.
+            lingeringClose();
+            ctx.channel().closeFuture().addListener(future -> promise.trySuccess());
+        } else {
+            ctx.close(promise);
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) throws Exception {
         cancelTimers();
@@ -152,8 +183,6 @@
         watchProgress(ctx);
     }
 
-    private boolean inBody;
-
     private void countRequest(MessageScanner.State before) {
         if (before == MessageScanner.State.IDLE || before == MessageScanner.State.ENDED) {
             inBody = false;
@@ -259,6 +288,10 @@
 
     /** Closes such that the caller can still read the answer: closing with unread input would reset the connection. */
     private void lingeringClose() {
+        if (lingering) {
+            return;
+        }
+        lingering = true;
         discarding = true;
         if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
             socket.shutdownOutput();
--- a/transport/src/main/java/org/heatherreach/transport/http/ProxyHandler.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/ProxyHandler.java
@@ -128,7 +128,7 @@
         // A daemon that forwarded the request takes an answer with another id for the answer to another request.
         RequestId requestId = CallParameters.requestId(headers::getAll).getOrElse(parts.requestIds());
         Answer.Refusal refusal = new Answer.Refusal(reason, reason.outcome(), 0);
-        boolean closing = parts.gate().isDraining() || reason == RefusalReason.SHUTTING_DOWN;
+        boolean closing = parts.gate().isDraining() || guard.isClosing() || reason == RefusalReason.SHUTTING_DOWN;
         return Mono.from(RefusalWriter.write(response, refusal, requestId, closing));
     }
 
--- a/transport/src/test/java/org/heatherreach/transport/http/ProxyFaultsTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/ProxyFaultsTest.java
@@ -364,15 +364,17 @@
                     RawCaller third = fixture.caller()) {
                 first.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
                 occupied.await();
+                // Either of the two may reach the queue first; it has room for one.
                 second.send("GET /2 HTTP/1.1\r\nHost: x\r\nHeatherreach-Timeout-Ms: 400\r\n\r\n");
-                ProxyFixture.await(() -> fixture.meters.inFlight() == 2);
-                RawCaller.Response full = third.get("/3");
-                assertThat(full.reason()).isEqualTo("queue-full");
-                assertThat(full.outcome()).isEqualTo("not-run");
-                assertThat(full.headers()).containsKey("retry-after");
-                RawCaller.Response late = second.read("GET");
-                assertThat(late.reason()).isEqualTo("deadline-passed");
-                assertThat(late.outcome()).isEqualTo("not-run");
+                third.send("GET /3 HTTP/1.1\r\nHost: x\r\nHeatherreach-Timeout-Ms: 400\r\n\r\n");
+                List<RawCaller.Response> refused = List.of(second.read("GET"), third.read("GET"));
+                assertThat(refused)
+                        .extracting(RawCaller.Response::reason)
+                        .containsExactlyInAnyOrder("queue-full", "deadline-passed");
+                assertThat(refused).extracting(RawCaller.Response::outcome).containsOnly("not-run");
+                assertThat(refused)
+                        .filteredOn(response -> response.reason().equals("queue-full"))
+                        .allSatisfy(response -> assertThat(response.headers()).containsKey("retry-after"));
                 release.countDown();
                 assertThat(first.read("GET").text()).isEqualTo("hello");
                 // The slot was freed exactly once, so the next request finds it.
--- a/transport/src/test/java/org/heatherreach/transport/http/ResponseIdentityProperties.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/ResponseIdentityProperties.java
@@ -57,6 +57,9 @@
                                     ? caller.post(target, body(target + "#", random.nextInt(3000)), timeout)
                                     : caller.get(target, timeout);
                             check(fixture, shed, target, response, faults, complete, notRun);
+                            if ("close".equalsIgnoreCase(response.headers().get("connection"))) {
+                                caller = closed(caller);
+                            }
                         } catch (IOException e) {
                             broken.incrementAndGet();
                             if (!target.endsWith("/cut-chunk")) {
