--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -319,7 +319,11 @@
 
     private Mono<Answer> afterFailure(
             BackendServer server, BackendAttempt failed, RequestBody body, BackendFailure failure) {
-        if (phase.get() == Phase.RELAYING || phase.get() == Phase.ENDED) {
+        Phase current = phase.get();
+        if (current == Phase.ENDED) {
+            return refuseLate();
+        }
+        if (current == Phase.RELAYING) {
             return Mono.error(failure);
         }
         earlierAttemptMayHaveRun |= failed.mayHaveRun();
@@ -338,6 +342,13 @@
         };
     }
 
+    /** Answers a failure that meets the deadline; an error instead would reset the caller without an answer. */
+    private Mono<Answer> refuseLate() {
+        BackendAttempt last = attempt;
+        boolean sent = earlierAttemptMayHaveRun || (last != null && last.mayHaveRun());
+        return refuse(sent ? RefusalReason.SERVER_TIMEOUT : RefusalReason.DEADLINE_PASSED, 0);
+    }
+
     private static RetryReason retryReason(FailureKind kind) {
         return switch (kind) {
             case CONNECT -> RetryReason.CONNECT_FAILED;
@@ -445,7 +456,11 @@
     }
 
     private Mono<Answer> refuseFault(Throwable error) {
-        if (phase.get() == Phase.RELAYING || phase.get() == Phase.ENDED) {
+        Phase current = phase.get();
+        if (current == Phase.ENDED) {
+            return refuseLate();
+        }
+        if (current == Phase.RELAYING) {
             return Mono.error(error);
         }
         if (error instanceof RequestRefusal refused) {
