Let a zone vouch for a server by its evidence since the score rose

Cause: with few requests no zone had enough recent traffic to vouch, so a cut between one zone and a server took the server from every zone. Change: a zone vouches by the sum of its evidence of the same kind since the pooled score began to rise: -1 for failures, 16 times that for latency, more if two zones see the fault.

--- a/coordination/src/main/java/org/heatherreach/coordination/health/HealthJudge.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/HealthJudge.java
@@ -58,10 +58,16 @@
     private static final long OBSERVER_FORGET_NANOS = TimeUnit.SECONDS.toNanos(10);
     /** With less recent traffic than this a server counts as idle, and probes count for it. */
     private static final double IDLE_REQUESTS = 0.1;
-    /** A zone vouches for a server with this much recent traffic and a score below the next constant. */
-    private static final double VOUCH_REQUESTS = 6;
+    /**
+     * A zone vouches for a server if its evidence since the pooled score began to rise sums up to this, which is about
+     * five successes. If two zones see the fault, it takes about twelve, as then the server is the likelier cause.
+     */
+    private static final double VOUCH_SUM = -1;
+
+    private static final double STRONG_VOUCH_SUM = -2.5;
+    /** A normal latency weighs up to ten times as much as a success, and a slow server has some too. */
+    private static final double LATENCY_VOUCH_FACTOR = 16;
 
-    private static final double VOUCH_SCORE = 2;
     /** An observer sees most of its servers as failing from this ratio on, if it is thrice that of its peers. */
     private static final double OUTLIER_RATIO = 0.25;
 
@@ -376,10 +382,17 @@
 
     /** Ejects for every zone, unless some zone with traffic of its own sees the server as healthy. */
     private boolean judgePooled(ServerRecord known, double limit, List<HealthAction> actions, long nowNanos) {
-        boolean vouched = false;
+        // Normal latencies do not vouch for a server that fails, nor successes for one that is slow.
+        boolean failing = known.isMostlyFailing(0);
+        int bad = 0;
+        double least = 0;
         for (int scope = 1; scope < known.scopes(); scope++) {
-            vouched |= known.recentRequests(scope) >= VOUCH_REQUESTS && known.score(scope) < VOUCH_SCORE;
+            double sum = failing ? known.failureSum(scope) : known.latencySum(scope);
+            bad += sum > limit / 4 ? 1 : 0;
+            least = Math.min(least, sum);
         }
+        double vouchSum = (bad > 1 ? STRONG_VOUCH_SUM : VOUCH_SUM) * (failing ? 1 : LATENCY_VOUCH_FACTOR);
+        boolean vouched = least <= vouchSum;
         if (!vouched) {
             eject(known, 0, actions, nowNanos);
             return true;
--- a/coordination/src/main/java/org/heatherreach/coordination/health/ServerRecord.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/ServerRecord.java
@@ -32,6 +32,8 @@
     private double[] recentByScope = new double[1];
     private double[] failureScores = new double[1];
     private double[] latencyScores = new double[1];
+    private double[] failureSums = new double[1];
+    private double[] latencySums = new double[1];
     private double[] failureSteps = new double[1];
     private double[] latencySteps = new double[1];
     private Ejection[] ejections = {new Ejection()};
@@ -61,6 +63,8 @@
             recentByScope = Arrays.copyOf(recentByScope, scopes);
             failureScores = Arrays.copyOf(failureScores, scopes);
             latencyScores = Arrays.copyOf(latencyScores, scopes);
+            failureSums = Arrays.copyOf(failureSums, scopes);
+            latencySums = Arrays.copyOf(latencySums, scopes);
             failureSteps = Arrays.copyOf(failureSteps, scopes);
             latencySteps = Arrays.copyOf(latencySteps, scopes);
             ejections = Arrays.copyOf(ejections, scopes);
@@ -176,12 +180,19 @@
     }
 
     void applySteps() {
+        for (int i = 0; i < failureSums.length; i++) {
+            failureSums[i] += Math.min(MAX_FAILURE_STEP, failureSteps[i]);
+            latencySums[i] += Math.min(MAX_LATENCY_STEP, latencySteps[i]);
+        }
         for (int i = 0; i < failureScores.length; i++) {
             failureScores[i] = advance(failureScores[i], Math.min(MAX_FAILURE_STEP, failureSteps[i]));
             latencyScores[i] = advance(latencyScores[i], Math.min(MAX_LATENCY_STEP, latencySteps[i]));
             failureSteps[i] = 0;
             latencySteps[i] = 0;
         }
+        if (score(0) == 0) {
+            clearSums();
+        }
     }
 
     private static double advance(double score, double step) {
@@ -191,11 +202,30 @@
     void resetScores() {
         Arrays.fill(failureScores, 0);
         Arrays.fill(latencyScores, 0);
+        clearSums();
     }
 
     void resetScores(int scope) {
         failureScores[scope] = 0;
         latencyScores[scope] = 0;
+        if (scope == 0) {
+            clearSums();
+        }
+    }
+
+    /** Returns the sum of the failure evidence of a scope since the pooled score was last zero. */
+    double failureSum(int scope) {
+        return failureSums[scope];
+    }
+
+    /** Returns the sum of the latency evidence of a scope since the pooled score was last zero. */
+    double latencySum(int scope) {
+        return latencySums[scope];
+    }
+
+    private void clearSums() {
+        Arrays.fill(failureSums, 0);
+        Arrays.fill(latencySums, 0);
     }
 
     double score(int scope) {
