--- /dev/null
+++ b/coordination/src/test/java/org/heatherreach/coordination/health/EvidenceWindowTest.java
@@ -0,0 +1,112 @@
+package org.heatherreach.coordination.health;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import net.jqwik.api.Example;
+import org.heatherreach.state.id.IncarnationId;
+import org.heatherreach.state.id.ServerId;
+import org.heatherreach.state.id.ServiceId;
+import org.heatherreach.state.id.ZoneId;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EvidenceWindowTest {
+    private static final ServerId SERVER = new ServerId("server-1");
+    private static final long MS = TimeUnit.MILLISECONDS.toNanos(1);
+
+    private final EvidenceWindow window = new EvidenceWindow(new ServiceId("benchdesk"), 0, new ZoneId("z"));
+
+    // Guards against reports that name servers without traffic, or count an exchange in two windows.
+    @Example
+    void reportsOnlyWhatHappenedSinceThePreviousReport() {
+        assertThat(window.report(0)).isEmpty();
+        long exchange = window.begin(SERVER, 0);
+        window.answer(exchange, 20 * MS);
+        window.complete(exchange, 30 * MS);
+        ServerEvidence evidence = only(window.report(250 * MS));
+        assertThat(evidence.requests()).isEqualTo(1);
+        assertThat(evidence.failures()).isZero();
+        assertThat(evidence.latencyCount(LatencyBuckets.indexOf(20 * MS))).isEqualTo(1);
+        window.complete(exchange, 260 * MS);
+        assertThat(window.report(500 * MS)).isEmpty();
+    }
+
+    // Guards against a server that never answers and so never shows in the latencies.
+    @Example
+    void unansweredExchangeIsCountedOnceByItsAge() {
+        for (int i = 0; i < 50; i++) {
+            long exchange = window.begin(SERVER, 0);
+            window.complete(exchange, 10 * MS);
+        }
+        long open = window.begin(SERVER, 0);
+        ServerEvidence first = only(window.report(250 * MS));
+        assertThat(first.latencyCount(LatencyBuckets.indexOf(250 * MS))).isEqualTo(1);
+        assertThat(window.report(500 * MS)).isEmpty();
+        window.answer(open, 600 * MS);
+        window.complete(open, 600 * MS);
+        ServerEvidence second = only(window.report(750 * MS));
+        assertThat(second.requests()).isEqualTo(1);
+        assertThat(latencies(second)).isZero();
+    }
+
+    // Guards against one long exchange that is counted as a stall again and again and convicts a server alone.
+    @Example
+    void silentExchangeCountsAsAStallAtMostTwice() {
+        long open = window.begin(SERVER, 0);
+        int stalled = 0;
+        for (int i = 1; i < 100; i++) {
+            stalled += window.report(i * 250 * MS)
+                    .map(report -> report.evidence().get(0).stalled())
+                    .orElse(0);
+        }
+        assertThat(stalled).isEqualTo(2);
+        window.fail(open, FailureKind.STALLED, 25_000 * MS);
+        assertThat(window.report(25_001 * MS)).isEmpty();
+    }
+
+    // Guards against callers that leave and are counted against the server.
+    @Example
+    void cancelledExchangeCountsNothing() {
+        window.cancel(window.begin(SERVER, 0));
+        assertThat(window.report(5_000 * MS)).isEmpty();
+    }
+
+    // Guards against two probers or none for a server of a zone, and against reshuffling all when one daemon leaves.
+    @Example
+    void eachServerHasOneProberThatStaysWhenOthersLeave() {
+        List<IncarnationId> daemons = new ArrayList<>();
+        for (int i = 1; i <= 5; i++) {
+            daemons.add(new IncarnationId(i * 0x9E3779B97F4A7C15L));
+        }
+        ProbePlan before = new ProbePlan(daemons);
+        ProbePlan after = new ProbePlan(daemons.subList(0, 4));
+        for (int i = 0; i < 100; i++) {
+            ServerId server = new ServerId("server-" + i);
+            long probers = daemons.stream()
+                    .filter(daemon -> before.serversOf(daemon, List.of(server)).size() == 1)
+                    .count();
+            assertThat(probers).isEqualTo(1);
+            Optional<IncarnationId> prober = before.proberOf(server);
+            if (!prober.equals(Optional.of(daemons.get(4)))) {
+                assertThat(after.proberOf(server)).isEqualTo(prober);
+            }
+        }
+    }
+
+    private static int latencies(ServerEvidence evidence) {
+        int sum = 0;
+        for (int count : evidence.latencyCounts()) {
+            sum += count;
+        }
+        return sum;
+    }
+
+    private static ServerEvidence only(Optional<HealthReport> report) {
+        assertThat(report).isPresent();
+        assertThat(report.get().evidence()).hasSize(1);
+        return report.get().evidence().get(0);
+    }
+}
