Keep pushed updates from ending the exchange of member lists

Cause: an exchange that had not requested its first page had sequence 0, which pushed updates carry too, so the first push after a start ended it and was not passed on. Change: the sequence is negative until the first request, and only acknowledgements count as pages. A restarted daemon now replaces its predecessor at the same address at its first packet. Ticks look only at suspects and dead members that are due.

--- a/coordination/src/main/java/org/heatherreach/coordination/member/MemberList.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/member/MemberList.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -44,8 +45,10 @@
     private final TreeMap<IncarnationId, Entry> entries = new TreeMap<>();
     private final Map<MemberAddress, Entry> byAddress = new HashMap<>();
     private final List<Entry> reachable = new ArrayList<>();
-    private final Map<IncarnationId, Entry> suspects = new HashMap<>();
-    private final Map<IncarnationId, Entry> buried = new HashMap<>();
+    /** In the order of their deadlines, like the buried ones, so that a tick looks only at those that are due. */
+    private final Map<IncarnationId, Entry> suspects = new LinkedHashMap<>();
+
+    private final Map<IncarnationId, Entry> buried = new LinkedHashMap<>();
     private final Map<Long, Relay> relays = new HashMap<>();
     private final UpdateQueue queue = new UpdateQueue();
     private List<MemberAddress> listed = List.of();
@@ -133,7 +136,7 @@
         }
         lastHeardNanos = nowNanos;
         hearDirectly(sender, packet.beacon(), nowNanos, actions);
-        boolean page = sync != null && packet.sequence() == sync.sequence;
+        boolean page = sync != null && packet.kind() == MemberPacket.Kind.ACK && packet.sequence() == sync.sequence;
         for (Member update : packet.updates()) {
             merge(update, !page, nowNanos, actions);
         }
@@ -204,7 +207,12 @@
     public MemberView view() {
         if (view == null) {
             List<Member> members = new ArrayList<>(reachable.size() + 1);
-            reachable.forEach(entry -> members.add(entry.member));
+            // The entries are sorted already, which makes the sort of the view cheap.
+            for (Entry entry : entries.values()) {
+                if (entry.member.state().isReachable()) {
+                    members.add(entry.member);
+                }
+            }
             members.add(self);
             view = new MemberView(members);
         }
@@ -247,14 +255,14 @@
     }
 
     private void hearDirectly(Member sender, TableBeacon beacon, long nowNanos, List<MemberAction> actions) {
+        Entry other = byAddress.get(sender.address());
         merge(sender, true, nowNanos, actions);
         Entry entry = entries.get(sender.incarnation());
         if (entry == null) {
             return;
         }
         if (entry.member.state().isReachable()) {
-            Entry other = byAddress.get(sender.address());
-            if (other != null && other != entry) {
+            if (other != null && other != entry && other.member.state().isReachable()) {
                 // One process holds an address at a time. If the packet was late, the other one refutes its death.
                 declareDead(other, nowNanos, actions);
                 byAddress.put(sender.address(), entry);
@@ -355,6 +363,7 @@
 
     private void bury(Entry entry, long nowNanos) {
         entry.deadlineNanos = nowNanos + settings.forgetNanos();
+        buried.remove(entry.member.incarnation());
         buried.put(entry.member.incarnation(), entry);
     }
 
@@ -383,10 +392,11 @@
         }
         List<Entry> due = null;
         for (Entry suspect : suspects.values()) {
-            if (nowNanos - suspect.deadlineNanos >= 0) {
-                due = due == null ? new ArrayList<>() : due;
-                due.add(suspect);
+            if (nowNanos - suspect.deadlineNanos < 0) {
+                break;
             }
+            due = due == null ? new ArrayList<>() : due;
+            due.add(suspect);
         }
         if (due != null) {
             for (Entry entry : due) {
@@ -405,10 +415,11 @@
             Iterator<Entry> dead = buried.values().iterator();
             while (dead.hasNext()) {
                 Entry entry = dead.next();
-                if (nowNanos - entry.deadlineNanos >= 0) {
-                    dead.remove();
-                    entries.remove(entry.member.incarnation());
+                if (nowNanos - entry.deadlineNanos < 0) {
+                    break;
                 }
+                dead.remove();
+                entries.remove(entry.member.incarnation());
             }
         }
         if (!relays.isEmpty()) {
@@ -745,7 +756,9 @@
     private static final class Sync {
         private MemberAddress partner;
         private long cursor = 1;
-        private long sequence;
+        /** Negative until the first page is requested; pushed updates have sequence zero and are no page. */
+        private long sequence = -1;
+
         private long sentNanos;
         private int failures;
         private int found;
--- a/coordination/src/main/java/org/heatherreach/coordination/table/TableSpread.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/table/TableSpread.java
@@ -120,7 +120,7 @@
         reported.keySet().removeIf(incarnation -> !members.contains(incarnation));
         // A version whose only holders died can't be fetched, and the rest of the fleet goes on without it. If nobody
         // else is left, this daemon itself may be cut off, so it stays behind.
-        if (members.reachable().stream().anyMatch(this::isNotAhead)) {
+        if (!ahead.isEmpty() && members.reachable().stream().anyMatch(this::isNotAhead)) {
             ahead.keySet().removeIf(incarnation -> !members.contains(incarnation));
         }
         boolean nowChosen = readers.stream().anyMatch(this::isSelf);
--- a/coordination/src/test/java/org/heatherreach/coordination/member/MemberListProperties.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/member/MemberListProperties.java
@@ -49,6 +49,19 @@
         assertThat(list.view().contains(other.incarnation())).isTrue();
     }
 
+    /** Guards against a pushed update that ends the first exchange of lists before its first page was requested. */
+    @Example
+    void pushedUpdateDoesNotEndTheExchange() {
+        MemberList list = new MemberList(MemberSettings.standard(), member(1, 5), List.of(), new Random(1), 0);
+        list.receive(ping(member(2, 5)), 1);
+        list.receive(
+                new MemberPacket(MemberPacket.Kind.ACK, 0, member(3, 5), 0, 0, beacon(), List.of(member(4, 5))), 2);
+        assertThat(list.tick(3))
+                .anyMatch(action -> action instanceof MemberAction.SendPacket send
+                        && send.packet().kind() == MemberPacket.Kind.PING
+                        && send.packet().target() != 0);
+    }
+
     private static MemberPacket ping(Member sender) {
         return new MemberPacket(MemberPacket.Kind.PING, 1, sender, 0, 0, beacon(), List.of());
     }
