--- a/bench/src/main/java/org/heatherreach/bench/BenchMain.java
+++ b/bench/src/main/java/org/heatherreach/bench/BenchMain.java
@@ -9,10 +9,13 @@
 import com.beust.jcommander.ParameterException;
 import org.heatherreach.bench.detection.DetectionBenchmark;
 import org.heatherreach.bench.slot.Floods;
+import org.heatherreach.bench.spread.OnceCostBenchmark;
+import org.heatherreach.bench.spread.SpreadBenchmark;
 
 /** Entry point of {@code bench}. Confined to the main thread. */
 public final class BenchMain {
-    private static final List<Benchmark> BENCHMARKS = List.of(new Floods(), new DetectionBenchmark());
+    private static final List<Benchmark> BENCHMARKS =
+            List.of(new Floods(), new DetectionBenchmark(), new SpreadBenchmark(), new OnceCostBenchmark());
 
     @Parameter(names = "--seed", description = "Seed of every random choice")
     private long seed = 1;
