--- a/daemon/src/test/java/org/heatherreach/daemon/fleet/RecordProcessTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/fleet/RecordProcessTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -9,8 +10,10 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -23,6 +26,10 @@
 import org.heatherreach.standins.BackendSettings;
 import org.heatherreach.standins.StoreServer;
 import org.heatherreach.standins.StoreSettings;
+import org.heatherreach.state.table.TableCsv;
+import org.heatherreach.transport.kv.HttpKeyValueStore;
+import org.heatherreach.transport.kv.TableChange;
+import org.heatherreach.transport.kv.TableStore;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -98,6 +105,7 @@
     }
 
     private void startDaemons(BackendServer backend, StoreServer store) throws Exception {
+        applyTable(store);
         Path directory = Files.createTempDirectory("record-process");
         List<Integer> peerPorts = new ArrayList<>();
         for (int i = 0; i < COUNT; i++) {
@@ -143,7 +151,38 @@
                     .redirectOutput(directory.resolve("d" + i + ".log").toFile())
                     .start());
         }
-        await("every daemon knows the others", () -> members(0) == COUNT && members(1) == COUNT && members(2) == COUNT);
+        await("every daemon knows the others and the table", () -> {
+            boolean ready = true;
+            for (int i = 0; i < COUNT; i++) {
+                ready &= members(i) == COUNT
+                        && get(i, "/heatherreach/status").get("tableVersion").asLong() > 0;
+            }
+            return ready;
+        });
+    }
+
+    private static void applyTable(StoreServer server) {
+        String csv = String.join(
+                "\n",
+                "row,weight,guarantee_percent,queue_limit,timeout_ms,floor_percent,slots,connections,retry_percent",
+                "service:certdesk,,,,,0,1,300,10",
+                "rank:urgent,1,0,1000,5000,,,,",
+                "rank:standard,1,0,1000,10000,,,,",
+                "rank:bulk,1,0,1000,30000,,,,",
+                "");
+        try (HttpKeyValueStore store = new HttpKeyValueStore(
+                List.of(new InetSocketAddress(HOST, server.port())),
+                Duration.ofSeconds(5),
+                Duration.ofSeconds(3),
+                new Random(1))) {
+            TableChange change =
+                    new TableChange("c1", "test", "", 0, 0, TableCsv.read(csv).get());
+            assertThat(new TableStore(store, new Random(2))
+                            .apply(change)
+                            .block()
+                            .isRight())
+                    .isTrue();
+        }
     }
 
     private String issueKey() throws Exception {
