Ask a server whose connections broke before its requests become crash suspects

A gray server that breaks single responses looked like a crash to a daemon with one request on it. Two such breaks of a popular request would have refused it everywhere for 15 minutes.

--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/HealthDuty.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/HealthDuty.java
@@ -99,6 +99,7 @@
     private final Map<ServiceId, List<ServerStatus>> status = new ConcurrentSkipListMap<>();
     private final Counter strayMessages;
     private final Counter crashReports;
+    private final Counter unconfirmedCrashes;
     private volatile Map<ServiceId, Set<Fingerprint>> refused = Map.of();
     private ProbePlan probePlan = new ProbePlan(List.of());
     private int probesInFlight;
@@ -142,6 +143,7 @@
                 "health", ringCapacity, task -> task.run(System.nanoTime()), this::tick, TICK_NANOS, registry);
         strayMessages = registry.counter("heatherreach.health.stray.messages");
         crashReports = registry.counter("heatherreach.health.crash.reports");
+        unconfirmedCrashes = registry.counter("heatherreach.health.crash.unconfirmed");
         for (Change change : Change.values()) {
             counterOf(change);
         }
@@ -477,18 +479,53 @@
             service.breaks().close(server);
         }
         if (!inFlight.isEmpty()) {
-            service.suspects().crash(server, inFlight, nowNanos).ifPresent(report -> {
-                IncarnationId owner = serviceOwner(service);
-                if (owner == null) {
-                    return;
-                }
-                if (owners.isSelf(owner)) {
-                    takeCrash(report, nowNanos);
-                } else {
-                    sender.send(owner, Frame.newBuilder().setCrashReport(CrashCodec.encode(report)));
-                }
-            });
+            confirmCrash(service, server, inFlight);
+        }
+    }
+
+    /**
+     * Asks a server whose connections broke for its health. One that answers breaks single responses and has not
+     * crashed; to report its requests would refuse popular ones everywhere.
+     */
+    private void confirmCrash(HealthService service, ServerId server, List<Fingerprint> inFlight) {
+        ListedServer entry = service.listed().find(server);
+        if (entry == null) {
+            return;
+        }
+        Set<Fingerprint> waiting = service.unconfirmed().get(server);
+        if (waiting != null) {
+            waiting.addAll(inFlight);
+            return;
+        }
+        service.unconfirmed().put(server, new LinkedHashSet<>(inFlight));
+        ServiceId id = service.id();
+        prober.probe(
+                entry.server().address(),
+                result -> ring.offerAlways(now -> reportCrash(id, server, result.answered(), now)));
+    }
+
+    private void reportCrash(ServiceId id, ServerId server, boolean answered, long nowNanos) {
+        HealthService service = services.get(id);
+        Set<Fingerprint> inFlight =
+                service == null ? null : service.unconfirmed().remove(server);
+        if (inFlight == null) {
+            return;
         }
+        if (answered) {
+            unconfirmedCrashes.increment();
+            return;
+        }
+        service.suspects().crash(server, List.copyOf(inFlight), nowNanos).ifPresent(report -> {
+            IncarnationId owner = serviceOwner(service);
+            if (owner == null) {
+                return;
+            }
+            if (owners.isSelf(owner)) {
+                takeCrash(report, nowNanos);
+            } else {
+                sender.send(owner, Frame.newBuilder().setCrashReport(CrashCodec.encode(report)));
+            }
+        });
     }
 
     private static IncarnationId serviceOwner(HealthService service) {
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/HealthService.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/HealthService.java
@@ -31,6 +31,7 @@
     private final Map<ServerId, Long> probeDeadlines = new HashMap<>();
     private final Map<ServerId, Note> notes = new HashMap<>();
     private final Map<ServerId, Long> withheldDeadlines = new HashMap<>();
+    private final Map<ServerId, Set<Fingerprint>> unconfirmed = new HashMap<>();
     private final BreakDetector breaks = new BreakDetector();
     private final SuspectList suspects;
     private final Set<Fingerprint> refusedOnce = new LinkedHashSet<>();
@@ -101,6 +102,11 @@
         return breaks;
     }
 
+    /** Returns the requests whose connections broke, by servers that are being asked whether they have crashed. */
+    Map<ServerId, Set<Fingerprint>> unconfirmed() {
+        return unconfirmed;
+    }
+
     /** Returns the log of crashes, or null if another daemon owns the service. */
     CrashLog crashes() {
         return crashes;
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/ServerProber.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/ServerProber.java
@@ -28,10 +28,11 @@
     /**
      * What a probe showed.
      *
+     * @param answered whether the server answered at all
      * @param healthy whether the answer came in time with a status of success
      * @param draining whether the answer states that the server is draining
      */
-    record Result(boolean healthy, boolean draining) {}
+    record Result(boolean answered, boolean healthy, boolean draining) {}
 
     /** Probes a server; the callback runs exactly once, on an event loop. */
     void probe(InetSocketAddress address, Consumer<Result> callback) {
@@ -41,13 +42,14 @@
                 .response()
                 .timeout(TIMEOUT)
                 .map(ServerProber::read)
-                .onErrorReturn(new Result(false, false))
-                .defaultIfEmpty(new Result(false, false))
+                .onErrorReturn(new Result(false, false, false))
+                .defaultIfEmpty(new Result(false, false, false))
                 .subscribe(callback);
     }
 
     private static Result read(HttpClientResponse response) {
         return new Result(
+                true,
                 response.status().code() / CLASS_DIVISOR == SUCCESS_CLASS,
                 "true".equals(response.responseHeaders().get(CallHeaders.BACKEND_DRAINING)));
     }
--- a/daemon/src/test/java/org/heatherreach/daemon/fleet/HealthDutyTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/fleet/HealthDutyTest.java
@@ -103,9 +103,9 @@
     @Example
     void refusesARequestAtEveryDaemonAfterTwoCrashes() {
         start(3, 6, 50);
-        crash(nodes.get(0), new ServerId("server-0"), 666, 1);
+        crash(nodes.get(0), 0, 666, 1);
         FleetNode.await("the first report", () -> crashReports() == 1);
-        crash(nodes.get(1), new ServerId("server-1"), 666, 2);
+        crash(nodes.get(1), 1, 666, 2);
         FleetNode.await("refusal", () -> nodes.stream().allMatch(node -> refuses(node, 666)));
         for (FleetNode node : nodes) {
             assertThat(refuses(node, 1)).isFalse();
@@ -117,6 +117,23 @@
         FleetNode.await("clearing", () -> nodes.stream().noneMatch(node -> refuses(node, 666)));
     }
 
+    // Guards against a popular request that is refused everywhere because one server breaks some of its responses.
+    @Example
+    void takesNoBrokenResponseOfALiveServerForACrash() {
+        start(2, 4, 50);
+        for (FleetNode node : nodes) {
+            node.exchange(GRAY, 777, FailureKind.TRUNCATED);
+            FleetNode.await(
+                    "an answer of the server",
+                    () -> node.registry
+                                    .counter("heatherreach.health.crash.unconfirmed")
+                                    .count()
+                            == 1);
+        }
+        assertThat(crashReports()).isZero();
+        assertThat(nodes).noneMatch(node -> refuses(node, 777));
+    }
+
     // Guards against a daemon with a faulty network that gets the servers of all others ejected.
     @Example
     void findsADaemonThatAloneSeesFailures() {
@@ -173,10 +190,12 @@
         }
     }
 
-    private static void crash(FleetNode node, ServerId server, long... fingerprints) {
+    private void crash(FleetNode node, int number, long... fingerprints) {
+        ServerId server = new ServerId("server-" + number);
         for (long fingerprint : fingerprints) {
             node.health.dispatched(FleetNode.SERVICE, server, fingerprint, System.nanoTime());
         }
+        backends.get(number).crash();
         for (long fingerprint : fingerprints) {
             node.health.ended(
                     FleetNode.SERVICE, server, fingerprint, FleetNode.result(FailureKind.TRUNCATED), System.nanoTime());
