--- a/daemon/src/test/java/org/heatherreach/daemon/ShutdownTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/ShutdownTest.java
@@ -19,7 +19,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vavr.control.Option;
-
 import net.jqwik.api.Example;
 import org.heatherreach.state.id.DaemonId;
 import org.heatherreach.state.id.RegionId;
