--- a/bench/src/main/java/org/heatherreach/bench/BenchMain.java
+++ b/bench/src/main/java/org/heatherreach/bench/BenchMain.java
@@ -19,7 +19,17 @@
 
 /** Entry point of {@code bench}. Confined to the main thread. */
 public final class BenchMain {
-    private static final List<Benchmark> BENCHMARKS = List.of(new Floods(), new DetectionBenchmark(), new TableCostBenchmark(), new ProcessCostBenchmark(), new LatencyBenchmark(), new SlotCost(), new CrashBenchmark(), new HealthCostBenchmark(), new SpreadBenchmark(), new OnceCostBenchmark());
+    private static final List<Benchmark> BENCHMARKS = List.of(
+            new Floods(),
+            new DetectionBenchmark(),
+            new TableCostBenchmark(),
+            new ProcessCostBenchmark(),
+            new LatencyBenchmark(),
+            new SlotCost(),
+            new CrashBenchmark(),
+            new HealthCostBenchmark(),
+            new SpreadBenchmark(),
+            new OnceCostBenchmark());
 
     @Parameter(names = "--seed", description = "Seed of every random choice")
     private long seed = 1;
