Let the blocking request of the full ring test have the rank of the others

An urgent request makes urgent work active, whose guarantee then lowers the cap of standard work to 6 of 8 slots at the next rebalancing, so that the seventh request waited by design if it came later than that. The test met this on a loaded machine.

--- a/daemon/src/test/java/org/heatherreach/daemon/fleet/ScheduleDutyTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/fleet/ScheduleDutyTest.java
@@ -173,7 +173,7 @@
 
     private static Submission blocking(CountDownLatch blocked, CountDownLatch release) {
         return new Submission(
-                -1, FleetNode.SERVICE, Rank.URGENT, Option.none(), 0, Long.MAX_VALUE, Set.of(), decision -> {
+                -1, FleetNode.SERVICE, Rank.STANDARD, Option.none(), 0, Long.MAX_VALUE, Set.of(), decision -> {
                     blocked.countDown();
                     try {
                         release.await();
