--- a/bench/src/main/java/org/heatherreach/bench/BenchMain.java
+++ b/bench/src/main/java/org/heatherreach/bench/BenchMain.java
@@ -3,11 +3,13 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import org.heatherreach.bench.capacity.ProcessCostBenchmark;
+import org.heatherreach.bench.capacity.SlopesBenchmark;
 import org.heatherreach.bench.capacity.TableCostBenchmark;
 import org.heatherreach.bench.detection.CrashBenchmark;
 import org.heatherreach.bench.detection.DetectionBenchmark;
@@ -19,22 +21,29 @@
 
 /** Entry point of {@code bench}. Confined to the main thread. */
 public final class BenchMain {
-    private static final List<Benchmark> BENCHMARKS = List.of(
-            new Floods(),
-            new DetectionBenchmark(),
+    private static final List<Benchmark> COSTS = List.of(
             new TableCostBenchmark(),
-            new ProcessCostBenchmark(),
-            new LatencyBenchmark(),
+            new OnceCostBenchmark(),
             new SlotCost(),
-            new CrashBenchmark(),
             new HealthCostBenchmark(),
             new SpreadBenchmark(),
-            new OnceCostBenchmark());
+            new ProcessCostBenchmark());
+
+    /** Run if no name is given. The slopes run every cost benchmark. */
+    private static final List<Benchmark> STANDARD = List.of(
+            new LatencyBenchmark(),
+            new Floods(),
+            new DetectionBenchmark(),
+            new CrashBenchmark(),
+            new SlopesBenchmark(COSTS));
+
+    private static final List<Benchmark> BENCHMARKS =
+            Stream.concat(STANDARD.stream(), COSTS.stream()).toList();
 
     @Parameter(names = "--seed", description = "Seed of every random choice")
     private long seed = 1;
 
-    @Parameter(description = "Names of the benchmarks to run; all by default")
+    @Parameter(description = "Names of the benchmarks to run; all but the single costs by default")
     private List<String> only = new ArrayList<>();
 
     @Parameter(names = "--out", description = "Directory for results.json and summary.txt")
@@ -82,7 +91,7 @@
         }
         BenchReport report = new BenchReport(seed);
         try {
-            for (Benchmark benchmark : BENCHMARKS) {
+            for (Benchmark benchmark : only.isEmpty() ? STANDARD : BENCHMARKS) {
                 if (only.isEmpty() || only.contains(benchmark.name())) {
                     report.begin(benchmark.name());
                     benchmark.run(seed, report);
