--- a/coordination/src/main/java/org/heatherreach/coordination/member/MemberList.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/member/MemberList.java
@@ -35,7 +35,7 @@
 public final class MemberList implements Membership {
     private static final long SYNC_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     private static final long RESYNC_NANOS = TimeUnit.SECONDS.toNanos(2);
-    private static final long ACCUSE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final long SUSPICION_NOTICE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final int CONTACT_DRAWS = 64;
     private static final long RELAY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -45,10 +45,10 @@
     private final TreeMap<IncarnationId, Entry> entries = new TreeMap<>();
     private final Map<MemberAddress, Entry> byAddress = new HashMap<>();
     private final List<Entry> reachable = new ArrayList<>();
-    /** In the order of their deadlines, like the buried ones, so that a tick looks only at those that are due. */
+    /** In the order of their deadlines, like the dead members, so that a tick looks only at those that are due. */
     private final Map<IncarnationId, Entry> suspects = new LinkedHashMap<>();
 
-    private final Map<IncarnationId, Entry> buried = new LinkedHashMap<>();
+    private final Map<IncarnationId, Entry> deadMembers = new LinkedHashMap<>();
     private final Map<Long, Relay> relays = new HashMap<>();
     private final UpdateQueue queue = new UpdateQueue();
     private List<MemberAddress> listed = List.of();
@@ -269,9 +269,9 @@
             }
         }
         entry.member = entry.member.withTableVersion(beacon.tableVersion());
-        boolean accused = entry.member.state() == MemberState.SUSPECT || entry.member.state() == MemberState.DEAD;
-        if (accused && sender.state().isReachable() && nowNanos - entry.accuseAllowedNanos >= 0) {
-            entry.accuseAllowedNanos = nowNanos + ACCUSE_INTERVAL_NANOS;
+        boolean suspected = entry.member.state() == MemberState.SUSPECT || entry.member.state() == MemberState.DEAD;
+        if (suspected && sender.state().isReachable() && nowNanos - entry.suspicionNoticeAllowedNanos >= 0) {
+            entry.suspicionNoticeAllowedNanos = nowNanos + SUSPICION_NOTICE_INTERVAL_NANOS;
             actions.add(new MemberAction.SendPacket(
                     sender.address(),
                     new MemberPacket(MemberPacket.Kind.ACK, 0, self, 0, 0, beacon(), List.of(entry.member))));
@@ -299,7 +299,7 @@
             } else {
                 // The end of a member that was not known is remembered but not spread, so that daemons which
                 // forget it at different times don't pass it around forever.
-                bury(entry, nowNanos);
+                recordDead(entry, nowNanos);
             }
             return;
         }
@@ -321,8 +321,8 @@
         if (self.state() == MemberState.LEFT) {
             return;
         }
-        boolean accused = update.state() == MemberState.SUSPECT || update.state() == MemberState.DEAD;
-        if (accused && update.counter() >= self.counter()) {
+        boolean suspected = update.state() == MemberState.SUSPECT || update.state() == MemberState.DEAD;
+        if (suspected && update.counter() >= self.counter()) {
             self = self.with(self.state(), update.counter() + 1);
             refutations++;
             enqueue(self);
@@ -337,7 +337,7 @@
         suspects.remove(update.incarnation());
         if (update.state().isReachable()) {
             if (!before.state().isReachable()) {
-                buried.remove(update.incarnation());
+                deadMembers.remove(update.incarnation());
                 addReachable(entry);
                 countNew(update, true, nowNanos);
             }
@@ -346,7 +346,7 @@
             if (before.state().isReachable()) {
                 removeReachable(entry);
             }
-            bury(entry, nowNanos);
+            recordDead(entry, nowNanos);
         }
         if (before.state() != update.state()) {
             view = null;
@@ -361,10 +361,10 @@
         }
     }
 
-    private void bury(Entry entry, long nowNanos) {
+    private void recordDead(Entry entry, long nowNanos) {
         entry.deadlineNanos = nowNanos + settings.forgetNanos();
-        buried.remove(entry.member.incarnation());
-        buried.put(entry.member.incarnation(), entry);
+        deadMembers.remove(entry.member.incarnation());
+        deadMembers.put(entry.member.incarnation(), entry);
     }
 
     private void suspect(Entry entry, long nowNanos, List<MemberAction> actions) {
@@ -411,8 +411,8 @@
     }
 
     private void forget(long nowNanos) {
-        if (!buried.isEmpty()) {
-            Iterator<Entry> dead = buried.values().iterator();
+        if (!deadMembers.isEmpty()) {
+            Iterator<Entry> dead = deadMembers.values().iterator();
             while (dead.hasNext()) {
                 Entry entry = dead.next();
                 if (nowNanos - entry.deadlineNanos < 0) {
@@ -728,12 +728,12 @@
         /** The end of the suspicion of a suspect, or of the memory of a dead member. */
         private long deadlineNanos;
 
-        private long accuseAllowedNanos;
+        private long suspicionNoticeAllowedNanos;
         private int index = -1;
 
         Entry(Member member, long nowNanos) {
             this.member = member;
-            this.accuseAllowedNanos = nowNanos;
+            this.suspicionNoticeAllowedNanos = nowNanos;
         }
     }
 
