Let the test of a full ring expect the refusal that a full ring gives

Cause: after the duty was released, losesNoCompletionWhenTheRingIsFull submitted a request at once and failed if it was refused. The ring of four places was still full then, and a counted refusal is the documented answer. On a slower machine the duty had not caught up and the test failed with "not accepted". Ruled out: a lost completion; all seven slots were found again in every run once the ring had drained.

Change: the test submits its first request while the ring is certainly full, retries until it is accepted, and checks that the refusals were counted. It still fails if a completion is lost, because no slot is left then.

Conclusion: the fault was in the test; it now covers the refusal as well.

--- a/daemon/src/test/java/org/heatherreach/daemon/fleet/FleetNode.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/fleet/FleetNode.java
@@ -169,6 +169,11 @@
     }
 
     Call submit(long fingerprint, Set<ServerId> tried) {
+        return trySubmit(fingerprint, tried).getOrElseThrow(() -> new AssertionError("not accepted"));
+    }
+
+    /** Submits a request; returns none if the ring of the duty is full. */
+    Option<Call> trySubmit(long fingerprint, Set<ServerId> tried) {
         Call call = new Call(TICKETS.incrementAndGet(), new LinkedBlockingQueue<>());
         boolean accepted = schedule.submit(new Submission(
                 call.ticket,
@@ -179,10 +184,7 @@
                 System.nanoTime() + TimeUnit.SECONDS.toNanos(20),
                 tried,
                 call.decisions::add));
-        if (!accepted) {
-            throw new AssertionError("not accepted");
-        }
-        return call;
+        return Option.when(accepted, call);
     }
 
     void complete(Call call) {
--- a/daemon/src/test/java/org/heatherreach/daemon/fleet/ScheduleDutyTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/fleet/ScheduleDutyTest.java
@@ -102,13 +102,21 @@
             calls.forEach(node::complete);
         }
         assertThat(node.schedule.submit(blocking(blocked, release))).isFalse();
-        release.countDown();
         for (int i = 0; i < 7; i++) {
             int number = i;
-            FleetNode.await(
-                    "dispatch " + i,
-                    () -> node.submit(number, Set.of()).decision() instanceof ScheduleDecision.Dispatch);
+            FleetNode.await("dispatch " + i, () -> {
+                // The ring refuses submissions until the duty has caught up; the first one always finds it full.
+                Option<FleetNode.Call> call = node.trySubmit(number, Set.of());
+                release.countDown();
+                return call.exists(accepted -> accepted.decision() instanceof ScheduleDecision.Dispatch);
+            });
         }
+        assertThat(node.registry
+                        .get("heatherreach.duty.events.refused")
+                        .tag("duty", "schedule")
+                        .functionCounter()
+                        .count())
+                .isGreaterThanOrEqualTo(2);
     }
 
     // Guards against a retry that goes to the server that has just failed the request while another one is idle.
