Import the classes that were named in full

Cause: several files named classes of the JDK in full in the middle of the code, which a reader has to take apart. Change: they are imported.

--- a/daemon/src/main/java/org/heatherreach/daemon/Logs.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/Logs.java
@@ -1,5 +1,7 @@
 package org.heatherreach.daemon;
 
+import java.util.logging.Handler;
+
 import org.jboss.logmanager.LogContext;
 import org.jboss.logmanager.formatters.JsonFormatter;
 import org.jboss.logmanager.formatters.PatternFormatter;
@@ -19,7 +21,7 @@
                 format == LogFormat.JSON ? new JsonFormatter() : new PatternFormatter(PATTERN));
         handler.setLevel(level.level());
         org.jboss.logmanager.Logger root = LogContext.getLogContext().getLogger("");
-        root.setHandlers(new java.util.logging.Handler[] {handler});
+        root.setHandlers(new Handler[] {handler});
         root.setLevel(level.level());
         Loggers.useJdkLoggers();
         // Libraries log per connection; the request path has counters for that.
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/RecordEndpoints.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/RecordEndpoints.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Locale;
 import java.util.Objects;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -48,7 +49,7 @@
         if (key.isLeft()) {
             return Mono.just(refuse(
                     RefusalReason.INVALID_KEY,
-                    "malformed key: " + key.getLeft().name().toLowerCase(java.util.Locale.ROOT)));
+                    "malformed key: " + key.getLeft().name().toLowerCase(Locale.ROOT)));
         }
         return Mono.create(sink -> duty.showOutcome(key.get(), report -> sink.success(show(report))));
     }
--- a/daemon/src/test/java/org/heatherreach/daemon/fleet/MemberAddressBookTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/fleet/MemberAddressBookTest.java
@@ -1,5 +1,6 @@
 package org.heatherreach.daemon.fleet;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -56,7 +57,7 @@
     // Guards against sending callers to a daemon that is leaving, and against a small site that is listed in part.
     @Example
     void listsTheWholeSiteButNotTheLeaving() {
-        List<Member> members = new java.util.ArrayList<>(IntStream.rangeClosed(1, 17)
+        List<Member> members = new ArrayList<>(IntStream.rangeClosed(1, 17)
                 .mapToObj(MemberAddressBookTest::member)
                 .toList());
         assertThat(book(members, 0).addresses(Option.none())).hasSize(17);
--- a/protocol/src/test/java/org/heatherreach/protocol/peer/FleetCodecTest.java
+++ b/protocol/src/test/java/org/heatherreach/protocol/peer/FleetCodecTest.java
@@ -1,5 +1,6 @@
 package org.heatherreach.protocol.peer;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 
@@ -122,7 +123,7 @@
                         .build(),
                 sound.toBuilder().setSender(update.toBuilder().setStateValue(9)).build(),
                 sound.toBuilder()
-                        .addAllUpdates(java.util.Collections.nCopies(MemberPacket.UPDATE_LIMIT + 1, update))
+                        .addAllUpdates(Collections.nCopies(MemberPacket.UPDATE_LIMIT + 1, update))
                         .build())) {
             assertThatThrownBy(() -> MemberCodec.decode(malformed)).isInstanceOf(MessageException.class);
         }
--- a/standins/src/main/java/org/heatherreach/standins/AdminServer.java
+++ b/standins/src/main/java/org/heatherreach/standins/AdminServer.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import reactor.core.publisher.Mono;
@@ -41,7 +42,7 @@
             this.routes = routes;
         }
 
-        Routes get(String path, java.util.function.Supplier<Object> handler) {
+        Routes get(String path, Supplier<Object> handler) {
             routes.get(
                     path,
                     (request, response) -> response.header("Content-Type", "application/json")
--- a/standins/src/main/java/org/heatherreach/standins/BackendServer.java
+++ b/standins/src/main/java/org/heatherreach/standins/BackendServer.java
@@ -1,6 +1,7 @@
 package org.heatherreach.standins;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -373,7 +374,7 @@
         String value = request.requestHeaders().get(header);
         if (value == null) {
             value = new QueryStringDecoder(request.uri())
-                    .parameters().getOrDefault(query, java.util.List.of()).stream()
+                    .parameters().getOrDefault(query, List.of()).stream()
                             .findFirst()
                             .orElse(null);
         }
--- a/standins/src/main/java/org/heatherreach/standins/KeyValueState.java
+++ b/standins/src/main/java/org/heatherreach/standins/KeyValueState.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
 import java.util.Collection;
 import java.util.Comparator;
@@ -339,7 +340,7 @@
                 // In etcd a comparison with the value of a missing key always fails.
                 return false;
             }
-            order = java.util.Arrays.compareUnsigned(entry.value(), bytes(compare.path("value")));
+            order = Arrays.compareUnsigned(entry.value(), bytes(compare.path("value")));
         } else {
             order = switch (target) {
                 case "VERSION" ->
--- a/standins/src/main/java/org/heatherreach/standins/LinkRelay.java
+++ b/standins/src/main/java/org/heatherreach/standins/LinkRelay.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -115,7 +116,7 @@
         listener.close().syncUninterruptibly();
         reset();
         admin.close();
-        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
     private void accept(SocketChannel client) {
--- a/standins/src/main/java/org/heatherreach/standins/StoreServer.java
+++ b/standins/src/main/java/org/heatherreach/standins/StoreServer.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.buffer.Unpooled;
@@ -199,9 +200,7 @@
     }
 
     private Mono<Void> delayed(
-            HttpServerRequest request,
-            HttpServerResponse response,
-            java.util.function.Supplier<Mono<Void>> continuation) {
+            HttpServerRequest request, HttpServerResponse response, Supplier<Mono<Void>> continuation) {
         StoreFaults current = faults;
         Mono<Void> outcome =
                 switch (current.outage()) {
--- a/standins/src/test/java/org/heatherreach/standins/LinkRelayTest.java
+++ b/standins/src/test/java/org/heatherreach/standins/LinkRelayTest.java
@@ -7,6 +7,11 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.List;
 
 import net.jqwik.api.Example;
 
@@ -59,8 +64,7 @@
     @Example
     void vmListLags() throws Exception {
         try (VmListServer vms = new VmListServer("127.0.0.1", 0, 0, 3_600_000)) {
-            vms.set(java.util.List.of(
-                    new VmListServer.Vm("v1", "127.0.0.1:1", "a", "benchdesk", VmListServer.State.LIVE)));
+            vms.set(List.of(new VmListServer.Vm("v1", "127.0.0.1:1", "a", "benchdesk", VmListServer.State.LIVE)));
             assertThat(fetch(vms)).isEqualTo("{\"vms\":[]}");
             vms.setFaults(0, false);
             assertThat(fetch(vms))
@@ -70,12 +74,11 @@
     }
 
     private static String fetch(VmListServer vms) throws IOException, InterruptedException {
-        return java.net.http.HttpClient.newHttpClient()
+        return HttpClient.newHttpClient()
                 .send(
-                        java.net.http.HttpRequest.newBuilder(
-                                        java.net.URI.create("http://127.0.0.1:" + vms.port() + "/v1/vms"))
+                        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + vms.port() + "/v1/vms"))
                                 .build(),
-                        java.net.http.HttpResponse.BodyHandlers.ofString())
+                        HttpResponse.BodyHandlers.ofString())
                 .body();
     }
 
--- a/standins/src/test/java/org/heatherreach/standins/StoreServerTest.java
+++ b/standins/src/test/java/org/heatherreach/standins/StoreServerTest.java
@@ -2,6 +2,7 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.InputStreamReader;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -74,7 +75,7 @@
     void watchStreamsFromItsStartRevision() throws Exception {
         try (StoreServer store = new StoreServer(StoreSettings.standard())) {
             call(store, "/v3/kv/put", "{\"key\":\"Zm9v\",\"value\":\"MQ==\"}");
-            HttpResponse<java.io.InputStream> response = client.send(
+            HttpResponse<InputStream> response = client.send(
                     request(
                             store,
                             "/v3/watch",
--- a/state/src/main/java/org/heatherreach/state/table/RouteIndex.java
+++ b/state/src/main/java/org/heatherreach/state/table/RouteIndex.java
@@ -1,5 +1,6 @@
 package org.heatherreach.state.table;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.SortedMap;
@@ -39,8 +40,8 @@
                 parent = parents[parent];
             }
             parents[index] = parent;
-            serviceIndexes[index] = (short) java.util.Collections.binarySearch(
-                    services, route.getValue().service());
+            serviceIndexes[index] =
+                    (short) Collections.binarySearch(services, route.getValue().service());
             ranks[index] =
                     route.getValue().rank().map(rank -> (byte) rank.ordinal()).getOrElse(NO_RANK);
             index++;
--- a/state/src/main/java/org/heatherreach/state/table/Table.java
+++ b/state/src/main/java/org/heatherreach/state/table/Table.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SortedMap;
@@ -113,7 +114,7 @@
 
     /** Returns the rows by name, in the order of the CSV. */
     public Map<String, TableRow> rowsByName() {
-        Map<String, TableRow> byName = new java.util.LinkedHashMap<>();
+        Map<String, TableRow> byName = new LinkedHashMap<>();
         rows().forEach(row -> byName.put(row.name(), row));
         return byName;
     }
--- a/state/src/main/java/org/heatherreach/state/table/TableRow.java
+++ b/state/src/main/java/org/heatherreach/state/table/TableRow.java
@@ -1,5 +1,6 @@
 package org.heatherreach.state.table;
 
+import java.util.Collections;
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.Objects;
@@ -20,7 +21,7 @@
                 copy.put(column, value);
             }
         });
-        cells = java.util.Collections.unmodifiableMap(copy);
+        cells = Collections.unmodifiableMap(copy);
     }
 
     /** Returns the text of a cell, empty if it has no value. */
--- a/state/src/test/java/org/heatherreach/state/table/TableProperties.java
+++ b/state/src/test/java/org/heatherreach/state/table/TableProperties.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -126,7 +128,7 @@
                     .map(row -> row.name().substring("route:".length()))
                     .filter(prefix ->
                             path.equals(prefix) || path.startsWith(prefix.endsWith("/") ? prefix : prefix + "/"))
-                    .max(java.util.Comparator.comparingInt(String::length))
+                    .max(Comparator.comparingInt(String::length))
                     .orElse(null);
             assertThat(table.route(path + "?q=/a").map(Route::prefix).getOrNull())
                     .isEqualTo(expected);
@@ -176,7 +178,7 @@
         Table mine = read(edit(rows, random));
         Table theirs = read(edit(rows, random));
         MergeReport report = TableDiff.merge(base, mine, theirs);
-        Map<String, TableRow> merged = new java.util.HashMap<>();
+        Map<String, TableRow> merged = new HashMap<>();
         report.merged().forEach(row -> merged.put(row.name(), row));
         for (List<CellChange> side : List.of(report.mine(), report.theirs())) {
             for (CellChange change : side) {
--- a/tools/src/main/java/org/heatherreach/tools/FleetReport.java
+++ b/tools/src/main/java/org/heatherreach/tools/FleetReport.java
@@ -1,5 +1,6 @@
 package org.heatherreach.tools;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -18,7 +19,7 @@
 
     /** Returns a line for each daemon that has not reported the version. */
     List<String> missing(long version) {
-        List<String> lines = new java.util.ArrayList<>();
+        List<String> lines = new ArrayList<>();
         daemons.stream()
                 .filter(daemon -> daemon.tableVersion() < version)
                 .map(daemon -> daemon.daemon() + " at " + daemon.address()
--- a/tools/src/main/java/org/heatherreach/tools/StoreOptions.java
+++ b/tools/src/main/java/org/heatherreach/tools/StoreOptions.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.function.Function;
 
 import com.beust.jcommander.Parameter;
@@ -33,8 +34,8 @@
             throw new ToolException(ExitCode.USAGE, "state the store by --store or HEATHERREACH_STORE");
         }
         try (HttpKeyValueStore client =
-                new HttpKeyValueStore(endpoints, CALL_TIMEOUT, WATCH_IDLE_TIMEOUT, new java.util.SplittableRandom())) {
-            return function.apply(new TableStore(client, new java.util.SplittableRandom()))
+                new HttpKeyValueStore(endpoints, CALL_TIMEOUT, WATCH_IDLE_TIMEOUT, new SplittableRandom())) {
+            return function.apply(new TableStore(client, new SplittableRandom()))
                     .block();
         }
     }
--- a/transport/src/test/java/org/heatherreach/transport/http/KeyedRequestsTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/KeyedRequestsTest.java
@@ -1,5 +1,6 @@
 package org.heatherreach.transport.http;
 
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -167,7 +168,7 @@
             return true;
         })) {
             FakeExecution entry = new FakeExecution(
-                    request -> new KeyedDecision.Forward(new java.net.InetSocketAddress("127.0.0.1", second.port())));
+                    request -> new KeyedDecision.Forward(new InetSocketAddress("127.0.0.1", second.port())));
             try (ProxyFixture first = fixture(entry, call -> false);
                     RawCaller caller = first.caller()) {
                 RawCaller.Response response = caller.post("/", HELLO, KEY);
--- a/transport/src/test/java/org/heatherreach/transport/http/ProxyFaultsTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/ProxyFaultsTest.java
@@ -1,8 +1,10 @@
 package org.heatherreach.transport.http;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
@@ -20,7 +22,7 @@
 class ProxyFaultsTest {
     private static final byte[] HELLO = "hello".getBytes(StandardCharsets.US_ASCII);
 
-    private static boolean hello(ScriptedBackend.Call call) throws java.io.IOException {
+    private static boolean hello(ScriptedBackend.Call call) throws IOException {
         call.respond(200, "", HELLO);
         return true;
     }
@@ -181,7 +183,7 @@
     @Example
     void streamsLargeBodiesBothWays() throws Exception {
         byte[] body = new byte[3_000_000];
-        new java.util.Random(5).nextBytes(body);
+        new Random(5).nextBytes(body);
         try (ProxyFixture fixture = new ProxyFixture()
                         .backend(call -> {
                             call.respond(200, "", call.body());
@@ -211,7 +213,7 @@
             int resets = 0;
             for (String target : List.of("/break", "/stall", "/break", "/stall")) {
                 try (RawCaller caller = fixture.caller()) {
-                    assertThatThrownBy(() -> caller.get(target)).isInstanceOf(java.io.IOException.class);
+                    assertThatThrownBy(() -> caller.get(target)).isInstanceOf(IOException.class);
                 }
                 ProxyFixture.await(() -> fixture.meters.inFlight() == 0);
                 resets++;
--- a/transport/src/test/java/org/heatherreach/transport/http/ProxyFixture.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/ProxyFixture.java
@@ -7,10 +7,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.vavr.control.Option;
@@ -28,11 +31,11 @@
 /** A daemon's request path in front of scripted servers, all on 127.0.0.1. */
 final class ProxyFixture implements AutoCloseable {
     // Reactor Netty logs each broken connection, of which tests make thousands. Held, because loggers are weak.
-    private static final java.util.logging.Logger REACTOR_LOG = java.util.logging.Logger.getLogger("reactor");
+    private static final Logger REACTOR_LOG = Logger.getLogger("reactor");
 
     static {
         Loggers.useJdkLoggers();
-        REACTOR_LOG.setLevel(java.util.logging.Level.OFF);
+        REACTOR_LOG.setLevel(Level.OFF);
     }
 
     static final ServiceId SERVICE = new ServiceId("shop");
@@ -42,7 +45,7 @@
     final ServingGate gate = new ServingGate();
     final FixedCatalog catalog = new FixedCatalog();
     final List<ScriptedBackend> backends = new ArrayList<>();
-    final Map<Integer, ExchangeResult> results = new java.util.concurrent.ConcurrentHashMap<>();
+    final Map<Integer, ExchangeResult> results = new ConcurrentHashMap<>();
     private final AtomicLong sequence = new AtomicLong();
     private RequestScheduler scheduler;
     private CallerServer server;
--- a/transport/src/test/java/org/heatherreach/transport/http/RawCaller.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/RawCaller.java
@@ -5,6 +5,8 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Locale;
@@ -133,9 +135,9 @@
                 // Whatever comes before the end.
             }
             return true;
-        } catch (java.net.SocketTimeoutException e) {
+        } catch (SocketTimeoutException e) {
             return false;
-        } catch (java.net.SocketException e) {
+        } catch (SocketException e) {
             return true;
         }
     }
--- a/transport/src/test/java/org/heatherreach/transport/http/ScriptedBackend.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/ScriptedBackend.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Locale;
@@ -57,7 +58,7 @@
                 while (socket.getInputStream().read() >= 0) {
                     // Bytes of the request that the script doesn't need.
                 }
-            } catch (java.net.SocketException e) {
+            } catch (SocketException e) {
                 // A reset also is a close.
             }
         }
--- a/transport/src/test/java/org/heatherreach/transport/kv/HttpKeyValueStoreTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/kv/HttpKeyValueStoreTest.java
@@ -1,6 +1,7 @@
 package org.heatherreach.transport.kv;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -185,6 +186,6 @@
     }
 
     private static byte[] bytes(String text) {
-        return text.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        return text.getBytes(StandardCharsets.UTF_8);
     }
 }
