Answer the caller when its deadline passes after a failed attempt

Cause: when a deadline passed, CallerExchange abandoned the last attempt before it emitted the refusal. If that attempt had already failed and its retry was queued, Reactor Netty had replaced the connection of the exchange by a disposed one, whose event loop throws. The exception ended the timer and the refusal was never emitted, so the caller waited until its own time-out. A trace of the exchange showed it: dispatch, failure "the response names another request", deadline, and nothing after it. Ruled out: a stalled stream (the phase was ENDED), a lost request (the attempt was dispatched), lost demand on the caller's connection (its guard wanted to read).

Change: BackendAttempt keeps its channel and closes it on its event loop only while the channel still belongs to the exchange; the refusal is emitted even if stopping the work fails.

--- a/transport/src/main/java/org/heatherreach/transport/http/BackendAttempt.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/BackendAttempt.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -18,6 +19,7 @@
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
 import reactor.netty.NettyOutbound;
+import reactor.netty.channel.ChannelOperations;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientRequest;
 import reactor.netty.http.client.HttpClientResponse;
@@ -46,6 +48,7 @@
     private final AtomicBoolean ended = new AtomicBoolean();
     private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.NEW);
     private volatile Connection connection;
+    private volatile Channel channel;
     private volatile BackendGuard guard;
     private volatile boolean requestSent;
     private volatile boolean shed;
@@ -127,16 +130,23 @@
         // Decides the race with write(): after this line either the request is never written or it counts as begun.
         stage.compareAndSet(Stage.NEW, Stage.ABANDONED);
         end(kind);
-        Connection open = connection;
+        // Not asked of the connection: an exchange that has ended has none any more, and its event loop throws.
+        Channel open = channel;
         if (open != null && !finished) {
-            open.channel().eventLoop().execute(() -> {
-                // Releases what arrived before the response had a receiver; a second receiver is an error and harmless.
-                open.inbound().receive().subscribe(part -> {}, error -> {}).dispose();
-                open.channel().close();
-            });
+            open.eventLoop().execute(() -> closeUnfinished(open));
         }
     }
 
+    private void closeUnfinished(Channel open) {
+        Connection current = connection;
+        if (finished || ChannelOperations.get(open) != current) {
+            return;
+        }
+        // Releases what arrived before the response had a receiver; a second receiver is an error and harmless.
+        current.inbound().receive().subscribe(part -> {}, error -> {}).dispose();
+        open.close();
+    }
+
     private Publisher<Void> write(HttpClientRequest target, NettyOutbound outbound) {
         outbound.withConnection(this::bind);
         long remainingNanos = request.deadlineNanos() - System.nanoTime();
@@ -176,6 +186,7 @@
 
     private void bind(Connection bound) {
         connection = bound;
+        channel = bound.channel();
         guard = bound.channel().pipeline().get(BackendGuard.class);
         guard.begin(request.method());
     }
@@ -275,7 +286,7 @@
     private void complete() {
         finished = true;
         if (!requestSent) {
-            connection.channel().close();
+            channel.close();
         }
         end(statusCode >= 500 ? FailureKind.ERROR : FailureKind.NONE);
     }
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -653,8 +653,12 @@
 
     private void interrupt(RefusalReason reason, FailureKind kind) {
         // Stopped first: only then is it settled whether the request was written.
-        stopWork(kind);
-        interruption.tryEmitValue(refusal(reason, 0));
+        try {
+            stopWork(kind);
+        } finally {
+            // The caller gets its answer even if the work can't be stopped.
+            interruption.tryEmitValue(refusal(reason, 0));
+        }
     }
 
     private void stopWork(FailureKind kind) {
--- a/transport/src/test/java/org/heatherreach/transport/http/ProxyFaultsTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/ProxyFaultsTest.java
@@ -348,6 +348,39 @@
         }
     }
 
+    // Guards against a caller that never gets an answer when its deadline passes while a retry waits for a slot. The
+    // connection of the failed attempt is gone by then.
+    @Example
+    void answersAtTheDeadlineWhileARetryIsQueued() throws Exception {
+        CountDownLatch bothWait = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        try (ProxyFixture fixture = new ProxyFixture().backend(call -> {
+            if (call.target().equals("/stray")) {
+                bothWait.await();
+                call.respond(200, "Heatherreach-Request-Id: of-another-request\r\n", HELLO);
+                return true;
+            }
+            release.await();
+            return hello(call);
+        })) {
+            fixture.catalog.limits = new ServiceLimits(ProxyFixture.SERVICE, 50, 1, 10, 100);
+            fixture.start();
+            try (RawCaller first = fixture.caller();
+                    RawCaller second = fixture.caller()) {
+                first.send("GET /stray HTTP/1.1\r\nHost: x\r\nHeatherreach-Timeout-Ms: 1000\r\n\r\n");
+                ProxyFixture.await(() -> !fixture.backends.get(0).seenTargets.isEmpty());
+                second.send("GET /holds-the-slot HTTP/1.1\r\nHost: x\r\n\r\n");
+                ProxyFixture.await(() -> fixture.meters.inFlight() == 2);
+                bothWait.countDown();
+                RawCaller.Response response = first.read("GET");
+                assertThat(response.reason()).isEqualTo("deadline-passed");
+                assertThat(response.outcome()).isEqualTo("unknown");
+                release.countDown();
+                assertThat(second.read("GET").text()).isEqualTo("hello");
+            }
+        }
+    }
+
     // Guards against queued requests that wait beyond their deadline or beyond the limit of the queue.
     @Example
     void boundsTheQueueByLengthAndDeadline() throws Exception {
