--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -1,6 +1,5 @@
 package org.heatherreach.transport.http;
 
-import java.io.ByteArrayOutputStream;
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.Objects;
@@ -115,11 +114,15 @@
         deadlineTimer = channel.eventLoop().schedule(this::passDeadline, delayNanos, TimeUnit.NANOSECONDS);
         guard.listenForBodyFault(faultListener);
         Mono<Answer> work = Mono.firstWithSignal(
-                        readBody().flatMap(this::decide).onErrorResume(this::refuseFault), interruption.asMono())
+                        new RequestBodyReader(parts.limits(), request, inbound)
+                                .read()
+                                .flatMap(this::decide)
+                                .onErrorResume(this::refuseFault),
+                        interruption.asMono())
                 .doOnNext(this::finishKey)
                 .doOnError(error -> finishKey(new KeyedOutcome.Unknown(RefusalReason.SERVER_LOST)));
         // A request with a key goes on when its caller leaves, so that a repetition finds the response.
-        Mono<Answer> answer = request.key().isDefined() ? detached(work) : work;
+        Mono<Answer> answer = request.key().isDefined() ? DetachedMono.of(work) : work;
         return answer.onErrorResume(error -> onLoop(Mono.defer(() -> {
                     resetCaller();
                     return Mono.<Answer>error(error);
@@ -129,59 +132,6 @@
                 .doFinally(signal -> release());
     }
 
-    /** Returns the result of work that goes on if nobody waits for the result any more. */
-    private static <T> Mono<T> detached(Mono<T> work) {
-        return Mono.defer(() -> {
-            Sinks.One<T> result = Sinks.one();
-            work.subscribe(result::tryEmitValue, result::tryEmitError, result::tryEmitEmpty);
-            return result.asMono();
-        });
-    }
-
-    private Mono<RequestBody> readBody() {
-        HttpHeaders headers = request.headers();
-        boolean chunked = headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
-        long lengthBytes = headers.contains(HttpHeaderNames.CONTENT_LENGTH)
-                ? Long.parseLong(headers.get(HttpHeaderNames.CONTENT_LENGTH))
-                : 0;
-        boolean keyed = request.key().isDefined();
-        long limitBytes =
-                keyed ? parts.limits().keyedBodyBytes() : parts.limits().bodyBytes();
-        if (!chunked && lengthBytes == 0) {
-            return Mono.just(RequestBody.empty());
-        }
-        if (lengthBytes > limitBytes) {
-            return Mono.error(new RequestRefusal(RefusalReason.BODY_TOO_LARGE));
-        }
-        if (keyed || (!chunked && lengthBytes <= parts.limits().retainedBodyBytes())) {
-            // Read to its end even if the request is refused meanwhile: a body that is left half consumed would leave
-            // the HTTP server waiting for it, or make it reset the connection before the answer is written.
-            return detached(checked(limitBytes)
-                    .collect(ByteArrayOutputStream::new, CallerExchange::append)
-                    .map(all -> RequestBody.retained(all.toByteArray())));
-        }
-        return Mono.just(RequestBody.streamed(checked(limitBytes).map(ByteBuf::retain), chunked ? -1 : lengthBytes));
-    }
-
-    /** Returns the body as it arrives; each buffer is released when its signal returns, unless it is retained. */
-    private Flux<ByteBuf> checked(long limitBytes) {
-        return Flux.defer(() -> {
-            long[] receivedBytes = {0};
-            return inbound.receive().doOnNext(part -> {
-                receivedBytes[0] += part.readableBytes();
-                if (receivedBytes[0] > limitBytes) {
-                    throw new RequestRefusal(RefusalReason.BODY_TOO_LARGE);
-                }
-            });
-        });
-    }
-
-    private static void append(ByteArrayOutputStream all, ByteBuf part) {
-        byte[] bytes = new byte[part.readableBytes()];
-        part.getBytes(part.readerIndex(), bytes);
-        all.writeBytes(bytes);
-    }
-
     private Mono<Answer> decide(RequestBody body) {
         long bodyHash = body.isRetained() ? HASH.hashBytes(body.bytes()) : body.lengthBytes();
         long requestHash = HASH.hashLongs(
@@ -735,35 +685,4 @@
                     .flatMap(go -> source);
         });
     }
-
-    /** Keeps the first bytes of a body for the record of an execution key. */
-    private static final class BodyRecorder {
-        private final boolean recording;
-        private final ByteArrayOutputStream kept = new ByteArrayOutputStream();
-        private boolean cut;
-
-        private BodyRecorder(boolean recording) {
-            this.recording = recording;
-        }
-
-        private void add(ByteBuf part) {
-            int room = ProxyLimits.RECORDED_BYTES - kept.size();
-            if (!recording) {
-                return;
-            }
-            int count = Math.min(room, part.readableBytes());
-            byte[] bytes = new byte[count];
-            part.getBytes(part.readerIndex(), bytes);
-            kept.writeBytes(bytes);
-            cut |= count < part.readableBytes();
-        }
-
-        private byte[] bytes() {
-            return kept.toByteArray();
-        }
-
-        private boolean isCut() {
-            return cut;
-        }
-    }
 }
