Stop waiting for an executor that is no longer a member

Cause: a request with a key of another daemon is forwarded to the executor. If that one is paused, its connections stay open and the forwarding daemon waited for it until the caller's deadline, although the member list had declared the executor dead seconds after the pause.

Change: a Forward decision carries a signal that completes when the executor leaves the member view (MemberLosses). The exchange then gives the forwarded request up and asks the witnesses, as it does when the connection breaks. The phase decides the race with an answer that arrives at the same instant: an answer is relayed only from the phase RUNNING. Tried first: only closing the connection to the executor. Reactor Netty ends such an exchange without a signal once its input is cancelled, so the caller still waited.

Conclusion: a resend by way of another daemon is answered from the witnesses as soon as the executor counts as dead; at most once is kept, because the witnesses bar the key before they say "not run".

--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/RecordDuty.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/RecordDuty.java
@@ -65,6 +65,7 @@
     private static final int QUERY_TIMEOUT_MILLIS = 800;
 
     private final MemberDirectory members;
+    private final MemberLosses losses;
     private final IncarnationId self;
     private final PeerLinks links;
     private final OnceLimits limits;
@@ -97,6 +98,7 @@
             RandomGenerator random,
             MeterRegistry registry) {
         this.members = Objects.requireNonNull(members, "members");
+        this.losses = new MemberLosses(members);
         this.links = Objects.requireNonNull(links, "links");
         this.limits = Objects.requireNonNull(limits, "limits");
         this.self = members.self().incarnation();
@@ -185,8 +187,9 @@
             return;
         }
         meters.countEnd(RecordMeters.End.FORWARDED);
-        callback.accept(new KeyedDecision.Forward(new InetSocketAddress(
-                executor.get().address().host(), executor.get().callerPort())));
+        InetSocketAddress address = new InetSocketAddress(
+                executor.get().address().host(), executor.get().callerPort());
+        callback.accept(new KeyedDecision.Forward(address, losses.of(key.issuer())));
     }
 
     @Override
--- a/daemon/src/test/java/org/heatherreach/daemon/fleet/RecordDutyTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/fleet/RecordDutyTest.java
@@ -166,6 +166,22 @@
         }
     }
 
+    // Guards against a caller that waits until its deadline for a paused executor, whose connections stay open.
+    @Example
+    void executorDeclaredDeadWhileAForwardedRequestRuns() throws Exception {
+        try (RecordFleet fleet = new RecordFleet(RecordFleet.limits())) {
+            String key = fleet.issueKey(0);
+            CompletableFuture<HttpResponse<byte[]>> forwarded = fleet.call(1, key)
+                    .serviceMillis(LONG_MILLIS)
+                    .timeoutMillis(LONG_MILLIS)
+                    .sendAsync();
+            RecordFleet.await(() -> fleet.runs(key) == 1);
+            fleet.node(1).forget(0);
+            assertRefused(forwarded.get(20, TimeUnit.SECONDS), Outcome.UNKNOWN, RefusalReason.EXECUTOR_UNREACHABLE);
+            assertThat(fleet.runs(key)).isEqualTo(1);
+        }
+    }
+
     @Example
     void executorKilledAfterTheOutcomeCopy() throws Exception {
         try (RecordFleet fleet = new RecordFleet(RecordFleet.limits())) {
--- a/daemon/src/test/java/org/heatherreach/daemon/fleet/RecordFleet.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/fleet/RecordFleet.java
@@ -290,6 +290,16 @@
             directory.publish(self, new MemberView(alive));
         }
 
+        /** Shows this daemon every daemon but one, as if that one was declared dead while its connections stay open. */
+        void forget(int lost) {
+            directory.publish(
+                    self,
+                    new MemberView(nodes.stream()
+                            .filter(node -> node.index != lost)
+                            .map(node -> node.self)
+                            .toList()));
+        }
+
         /** Ends this daemon such that it sends nothing any more, not even what its end would cause. */
         void kill() {
             if (killed) {
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -56,6 +56,8 @@
         READING,
         QUEUED,
         RUNNING,
+        /** The executor of the key is gone, and its witnesses are asked. */
+        RESOLVING,
         RELAYING,
         ENDED
     }
@@ -214,7 +216,7 @@
         if (request.parameters().forwardedBy().isDefined() || !enter(Phase.RUNNING)) {
             return refuse(RefusalReason.EXECUTOR_UNREACHABLE, 0);
         }
-        attempt = new BackendAttempt(
+        BackendAttempt current = new BackendAttempt(
                 request,
                 body,
                 parts.limits(),
@@ -222,19 +224,34 @@
                 System.nanoTime(),
                 result -> {},
                 this::stream);
-        return attempt.run(clients.client(decision.executor(), parts.limits().connections()))
-                .flatMap(this::claim)
+        attempt = current;
+        Mono<Answer> response = current.run(
+                        clients.client(decision.executor(), parts.limits().connections()))
+                .flatMap(this::claim);
+        // A paused executor keeps its connections open, so only the member list tells that it will not answer.
+        Mono<Answer> lost = decision.lost().then(onLoop(Mono.defer(() -> abandonForwarded(current))));
+        return Mono.firstWithSignal(response, lost)
                 .onErrorResume(
                         BackendFailure.class,
-                        failure -> this.<Answer>onLoop(Mono.defer(() -> {
-                            if (phase.get() == Phase.RELAYING || phase.get() == Phase.ENDED) {
-                                return Mono.error(failure);
-                            }
-                            return Mono.<KeyedDecision>create(sink -> parts.keyed()
-                                            .get()
-                                            .resolve(keyedRequest, found -> onLoop(() -> sink.success(found))))
-                                    .flatMap(found -> follow(found, body));
-                        })));
+                        failure -> this.<Answer>onLoop(Mono.defer(() -> resolveForwarded(failure, body))));
+    }
+
+    private Mono<Answer> abandonForwarded(BackendAttempt forwarded) {
+        if (!phase.compareAndSet(Phase.RUNNING, Phase.RESOLVING)) {
+            return Mono.never();
+        }
+        forwarded.abandon(FailureKind.STALLED);
+        return Mono.error(new BackendFailure(FailureKind.STALLED, "the executor is no longer a member", 0));
+    }
+
+    /** Asks the witnesses, because the executor did not answer a forwarded request. */
+    private Mono<Answer> resolveForwarded(BackendFailure failure, RequestBody body) {
+        if (phase.get() == Phase.RELAYING || phase.get() == Phase.ENDED) {
+            return Mono.error(failure);
+        }
+        return Mono.<KeyedDecision>create(sink ->
+                        parts.keyed().get().resolve(keyedRequest, found -> onLoop(() -> sink.success(found))))
+                .flatMap(found -> follow(found, body));
     }
 
     private Mono<Answer> schedule(RequestBody body) {
@@ -407,14 +424,14 @@
 
     /** Lets a whole response through unless the deadline passed first. */
     private Mono<Answer> claim(Answer answer) {
-        if (answer instanceof Answer.Streamed || enter(Phase.RELAYING)) {
+        if (answer instanceof Answer.Streamed || phase.compareAndSet(Phase.RUNNING, Phase.RELAYING)) {
             return Mono.just(answer);
         }
         return Mono.never();
     }
 
     private Mono<Answer> stream(int statusCode, HttpHeaders headers, Flux<ByteBuf> body) {
-        if (!enter(Phase.RELAYING)) {
+        if (!phase.compareAndSet(Phase.RUNNING, Phase.RELAYING)) {
             body.subscribe().dispose();
             return Mono.never();
         }
@@ -577,7 +594,7 @@
             return;
         }
         if (keyedRequest != null && keyUndecided) {
-            boolean forwarded = before == Phase.RUNNING;
+            boolean forwarded = before == Phase.RUNNING || before == Phase.RESOLVING;
             interrupt(forwarded ? RefusalReason.EXECUTOR_UNREACHABLE : RefusalReason.KEY_RUNNING, FailureKind.STALLED);
             return;
         }
--- a/transport/src/main/java/org/heatherreach/transport/http/KeyedDecision.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/KeyedDecision.java
@@ -5,6 +5,7 @@
 
 import org.heatherreach.state.outcome.Outcome;
 import org.heatherreach.state.outcome.RefusalReason;
+import reactor.core.publisher.Mono;
 
 /** What to do with a request that has an execution key. Implementations are immutable. */
 public sealed interface KeyedDecision {
@@ -54,11 +55,13 @@
      * Another daemon is the executor.
      *
      * @param executor its address for callers
+     * @param lost completes when the executor is no longer a member; a forwarded request then has no answer to wait for
      */
-    record Forward(InetSocketAddress executor) implements KeyedDecision {
+    record Forward(InetSocketAddress executor, Mono<Void> lost) implements KeyedDecision {
         /** Creates a decision. */
         public Forward {
             Objects.requireNonNull(executor, "executor");
+            Objects.requireNonNull(lost, "lost");
         }
     }
 }
--- a/transport/src/test/java/org/heatherreach/transport/http/KeyedRequestsTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/KeyedRequestsTest.java
@@ -11,6 +11,7 @@
 
 import net.jqwik.api.Example;
 import org.heatherreach.state.outcome.RefusalReason;
+import reactor.core.publisher.Mono;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -167,8 +168,8 @@
             call.respond(200, "", call.body());
             return true;
         })) {
-            FakeExecution entry = new FakeExecution(
-                    request -> new KeyedDecision.Forward(new InetSocketAddress("127.0.0.1", second.port())));
+            FakeExecution entry = new FakeExecution(request ->
+                    new KeyedDecision.Forward(new InetSocketAddress("127.0.0.1", second.port()), Mono.never()));
             try (ProxyFixture first = fixture(entry, call -> false);
                     RawCaller caller = first.caller()) {
                 RawCaller.Response response = caller.post("/", HELLO, KEY);
