--- a/coordination/src/test/java/org/heatherreach/coordination/table/MemberFleetProperties.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/table/MemberFleetProperties.java
@@ -103,6 +103,18 @@
         }
     }
 
+    /** Guards against the news of a leaving daemon that waits behind the joins of a cold start until answers expire. */
+    @Example
+    void leavingAfterAColdStartIsKnownBeforeAnswersExpire() {
+        FleetFake fleet = new FleetFake(false, 7108, 3, 1, 110);
+        fleet.run(FleetFake.seconds(4));
+        for (FleetFake.Node leaving : fleet.nodes.subList(20, 30)) {
+            leaving.leave();
+            fleet.run(FleetFake.seconds(10));
+            assertThat(sightings(fleet, leaving)).isZero();
+        }
+    }
+
     /** Guards against regions that don't find each other again after their dead members were forgotten. */
     @Example
     void regionsRejoinAfterAnHour() {
