Repeat the exchange of lists while it brings members

Cause: a daemon reads a whole list when it meets its first peer, and that start barred every further exchange for 120 s. In a cold start the first peer knows nobody yet, so the exchange finds nothing and the rest comes by gossip at 8 updates per packet; a trace shows 33 of 440 daemons that still miss up to 86 members each 20 s after the start. After a zone cut heals within the 120 s nothing is exchanged either. Members that returned from death were not counted as found.

Change: an exchange is due when a page brought a new or returned member, or 8 came by gossip within 5 s; it starts 5 s after the start of the last one.

Conclusion: the cooldown was the cause; the interval of 5 s bounds the cost.

--- a/coordination/src/main/java/org/heatherreach/coordination/member/MemberList.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/member/MemberList.java
@@ -25,8 +25,9 @@
  * grows with the logarithm of the fleet: fresh ones are pushed to three members at once under a rate limit, then they
  * ride on pings and acknowledgements.
  *
- * <p>A new daemon, and one that sees many new members at once, reads the whole list of one peer page by page. Each
- * eighth ping reads one more page, so that a lost update is repaired within a quarter of an hour at 880 members.
+ * <p>A new daemon, and one that sees many new or returned members at once, reads the whole list of one peer page by
+ * page, and that of another peer as long as this brings members. Each eighth ping reads one more page, so that a lost
+ * update is repaired within a quarter of an hour at 880 members.
  *
  * <p>Invariants: this daemon's own counter only grows; an incarnation that announced {@code LEAVING} never becomes live
  * again; {@code LEFT} is final; a daemon that hears nobody declares nobody dead; the work per packet and per tick
@@ -34,7 +35,6 @@
  */
 public final class MemberList implements Membership {
     private static final long SYNC_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-    private static final long RESYNC_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final long SUSPICION_NOTICE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final int CONTACT_DRAWS = 64;
     private static final long RELAY_NANOS = TimeUnit.SECONDS.toNanos(1);
@@ -62,9 +62,8 @@
     private long repairCursor = 1;
     private Sync sync;
     private boolean synced;
-    private boolean resyncDue;
-    private long resyncNanos;
-    private long mergeAllowedNanos;
+    private boolean syncDue;
+    private long syncAllowedNanos;
     private long mergeWindowEndNanos;
     private int newInWindow;
 
@@ -106,7 +105,7 @@
         lastObservedNanos = nowNanos;
         lastHeardNanos = nowNanos;
         pushRefilledNanos = nowNanos;
-        mergeAllowedNanos = nowNanos;
+        syncAllowedNanos = nowNanos;
         mergeWindowEndNanos = nowNanos;
         nextContactNanos = nowNanos;
         // A random phase spreads the pings of daemons that start together.
@@ -311,7 +310,7 @@
             // A pause of the member raised its counter before the announcement reached it; it is still leaving.
             return;
         }
-        apply(entry, update, nowNanos, actions);
+        apply(entry, update, spread, nowNanos, actions);
         if (spread) {
             enqueue(update);
         }
@@ -331,7 +330,7 @@
         }
     }
 
-    private void apply(Entry entry, Member update, long nowNanos, List<MemberAction> actions) {
+    private void apply(Entry entry, Member update, boolean spread, long nowNanos, List<MemberAction> actions) {
         Member before = entry.member;
         entry.member = update.withTableVersion(Math.max(update.tableVersion(), before.tableVersion()));
         suspects.remove(update.incarnation());
@@ -339,7 +338,7 @@
             if (!before.state().isReachable()) {
                 deadMembers.remove(update.incarnation());
                 addReachable(entry);
-                countNew(update, true, nowNanos);
+                countNew(update, spread, nowNanos);
             }
             watchSuspect(entry, nowNanos);
         } else {
@@ -370,7 +369,7 @@
     private void suspect(Entry entry, long nowNanos, List<MemberAction> actions) {
         if (entry.member.state() == MemberState.ALIVE) {
             Member update = entry.member.with(MemberState.SUSPECT, entry.member.counter());
-            apply(entry, update, nowNanos, actions);
+            apply(entry, update, true, nowNanos, actions);
             enqueue(update);
         } else if (entry.member.state() == MemberState.LEAVING && !suspects.containsKey(entry.member.incarnation())) {
             // Spreading a suspicion would hide that the member is leaving.
@@ -381,7 +380,7 @@
 
     private void declareDead(Entry entry, long nowNanos, List<MemberAction> actions) {
         Member update = entry.member.with(MemberState.DEAD, entry.member.counter());
-        apply(entry, update, nowNanos, actions);
+        apply(entry, update, true, nowNanos, actions);
         enqueue(update);
         deathsDeclared++;
     }
@@ -476,8 +475,8 @@
     }
 
     private void continueSync(long nowNanos, List<MemberAction> actions) {
-        if (sync == null && resyncDue && nowNanos - resyncNanos >= 0) {
-            resyncDue = false;
+        if (sync == null && syncDue && nowNanos - syncAllowedNanos >= 0) {
+            syncDue = false;
             pick(1, null).forEach(entry -> startSync(entry.member.address(), nowNanos));
         }
         if (sync == null || nowNanos - sync.sentNanos < SYNC_RETRY_NANOS) {
@@ -502,7 +501,8 @@
             // The first page is requested at the next tick.
             sync.sentNanos = nowNanos - SYNC_RETRY_NANOS;
             sync.failures = -1;
-            mergeAllowedNanos = nowNanos + MemberSettings.MERGE_COOLDOWN_NANOS;
+            syncAllowedNanos = nowNanos + MemberSettings.SYNC_INTERVAL_NANOS;
+            newInWindow = 0;
         }
     }
 
@@ -512,18 +512,20 @@
         actions.add(send(sync.partner, MemberPacket.Kind.PING, sync.sequence, sync.cursor, 0));
     }
 
-    /** Counts new members; many at once mean that two parts of the fleet have met again. */
+    /**
+     * Counts members that are new or back. Many at once mean that two parts of the fleet have met; gossip alone, which
+     * has room for 8 updates per packet, takes minutes to repeat them all. A page that brings some means that the list
+     * of its sender was ahead, and perhaps incomplete too, so another one is read.
+     */
     private void countNew(Member update, boolean spread, long nowNanos) {
         view = null;
-        if (sync != null && !spread) {
-            sync.found++;
-        }
         if (!synced) {
             synced = true;
             startSync(update.address(), nowNanos);
             return;
         }
-        if (!spread || sync != null || nowNanos - mergeAllowedNanos < 0) {
+        if (!spread) {
+            syncDue = true;
             return;
         }
         if (nowNanos - mergeWindowEndNanos >= 0) {
@@ -531,7 +533,7 @@
             newInWindow = 0;
         }
         if (++newInWindow >= MemberSettings.MERGE_THRESHOLD) {
-            startSync(update.address(), nowNanos);
+            syncDue = true;
         }
     }
 
@@ -621,9 +623,6 @@
         } else if (sync != null && sync.sequence == ack.sequence()) {
             sync.failures = 0;
             if (ack.target() == 0) {
-                // When many daemons start together, the partner's list was itself incomplete.
-                resyncDue = sync.found > 0;
-                resyncNanos = nowNanos + RESYNC_NANOS;
                 sync = null;
             } else {
                 sync.cursor = ack.target();
@@ -761,7 +760,6 @@
 
         private long sentNanos;
         private int failures;
-        private int found;
 
         Sync(MemberAddress partner) {
             this.partner = partner;
--- a/coordination/src/main/java/org/heatherreach/coordination/member/MemberSettings.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/member/MemberSettings.java
@@ -36,8 +36,11 @@
 
     static final long MERGE_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(5);
 
-    /** Least time between two full exchanges. At 880 members one takes about 110 KB. */
-    static final long MERGE_COOLDOWN_NANOS = TimeUnit.SECONDS.toNanos(120);
+    /**
+     * Least time between the starts of two full exchanges. At 880 members one takes about 110 KB, so exchanges follow
+     * each other only while they bring members that were not known.
+     */
+    static final long SYNC_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
 
     /**
      * Creates settings.
--- a/coordination/src/test/java/org/heatherreach/coordination/member/MemberListProperties.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/member/MemberListProperties.java
@@ -1,7 +1,10 @@
 package org.heatherreach.coordination.member;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import net.jqwik.api.Example;
 import org.heatherreach.state.id.DaemonId;
@@ -12,6 +15,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 class MemberListProperties {
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
     /** Guards against packets over 1,200 bytes, or with more than 8 updates, when ids are long. */
     @Example
     void packetsStayWithinTheLimit() {
@@ -62,6 +67,60 @@
                         && send.packet().target() != 0);
     }
 
+    /** Guards against lists that stay short for minutes because the first exchange met a peer that knew nobody. */
+    @Example
+    void manyNewMembersCauseAnotherExchange() {
+        MemberList list = afterEmptyExchange();
+        list.receive(ack(0, 0, joins(3, 10)), SECOND);
+        assertThat(pageRequest(list, 6 * SECOND)).isPresent();
+    }
+
+    /** Guards against members that stay dead after a cut, because their return in a page was not counted. */
+    @Example
+    void returnedMembersInAPageCauseAnotherExchange() {
+        MemberList list = afterEmptyExchange();
+        list.receive(ack(0, 0, joins(3, 10)), SECOND);
+        list.receive(ack(0, 0, List.of(member(3, 5).with(MemberState.DEAD, 0))), 2 * SECOND);
+        MemberPacket second = pageRequest(list, 6 * SECOND).orElseThrow();
+        Member returned = member(3, 5).with(MemberState.ALIVE, 1);
+        list.receive(ack(second.sequence(), 0, List.of(returned)), 6 * SECOND + 1);
+        MemberPacket third = pageRequest(list, 11 * SECOND).orElseThrow();
+        list.receive(ack(third.sequence(), 0, List.of(returned)), 11 * SECOND + 1);
+        assertThat(pageRequest(list, 16 * SECOND)).isEmpty();
+    }
+
+    private static MemberList afterEmptyExchange() {
+        MemberList list = new MemberList(MemberSettings.standard(), member(1, 5), List.of(), new Random(1), 0);
+        list.receive(ping(member(2, 5)), 1);
+        MemberPacket first = pageRequest(list, 2).orElseThrow();
+        list.receive(ack(first.sequence(), 0, List.of()), 3);
+        return list;
+    }
+
+    /** Ticks once and returns the request for a page of an exchange; those of the repair name a receiver. */
+    private static Optional<MemberPacket> pageRequest(MemberList list, long nowNanos) {
+        return sent(list, nowNanos).stream()
+                .map(MemberAction.SendPacket::packet)
+                .filter(packet -> packet.kind() == MemberPacket.Kind.PING)
+                .filter(packet -> packet.target() != 0 && packet.expected() == 0)
+                .findFirst();
+    }
+
+    private static List<MemberAction.SendPacket> sent(MemberList list, long nowNanos) {
+        return list.tick(nowNanos).stream()
+                .filter(MemberAction.SendPacket.class::isInstance)
+                .map(MemberAction.SendPacket.class::cast)
+                .toList();
+    }
+
+    private static List<Member> joins(int from, int to) {
+        return IntStream.rangeClosed(from, to).mapToObj(i -> member(i, 5)).toList();
+    }
+
+    private static MemberPacket ack(long sequence, long target, List<Member> updates) {
+        return new MemberPacket(MemberPacket.Kind.ACK, sequence, member(2, 5), target, 0, beacon(), updates);
+    }
+
     private static MemberPacket ping(Member sender) {
         return new MemberPacket(MemberPacket.Kind.PING, 1, sender, 0, 0, beacon(), List.of());
     }
