Measure the bytes of slot messages with the real codec

Cause: the cost of slot messages was estimated from an assumed size of 30 to 70 bytes. Change: the floods benchmark encodes each report, grant and recall with SlotCodec in a Frame with its length prefix, and counts them by kind.

--- a/bench/src/main/java/org/heatherreach/bench/slot/FleetTrial.java
+++ b/bench/src/main/java/org/heatherreach/bench/slot/FleetTrial.java
@@ -18,6 +18,8 @@
 import org.heatherreach.coordination.slot.SlotPool;
 import org.heatherreach.coordination.slot.SlotRequest;
 import org.heatherreach.coordination.slot.SlotServer;
+import org.heatherreach.protocol.peer.SlotCodec;
+import org.heatherreach.protocol.peer.wire.Frame;
 import org.heatherreach.state.id.IncarnationId;
 import org.heatherreach.state.id.RequestId;
 import org.heatherreach.state.id.ServerId;
@@ -47,6 +49,9 @@
     /** When a caller that got no hint tries again. */
     private static final long UNHINTED_RETRY_NANOS = 50_000_000L;
 
+    /** Each frame follows its length. */
+    private static final int LENGTH_PREFIX_BYTES = 4;
+
     private static final Rank[] RANKS = Rank.values();
 
     private final Site site;
@@ -250,7 +255,8 @@
             } else if (action instanceof SlotAction.Refuse refuse) {
                 refuse(refuse);
             } else if (action instanceof SlotAction.SendReport report) {
-                send(daemon, 0, () -> take(ledger.onReport(ids.get(daemon), report.report(), nowNanos)));
+                Frame.Builder frame = Frame.newBuilder().setSlotReport(SlotCodec.encode(report.report()));
+                send(daemon, 0, frame, () -> take(ledger.onReport(ids.get(daemon), report.report(), nowNanos)));
             }
         }
         if (daemon < tickNanos.length && tickNanos[daemon] != 0) {
@@ -262,16 +268,36 @@
         for (LedgerAction action : actions) {
             int daemon = indexes.get(action.daemon());
             if (action instanceof LedgerAction.SendGrant grant) {
-                send(0, daemon, () -> take(daemon, pools.get(daemon).onGrant(ids.get(0), grant.grant(), nowNanos)));
+                Frame.Builder frame = Frame.newBuilder().setSlotGrant(SlotCodec.encode(grant.grant()));
+                send(
+                        0,
+                        daemon,
+                        frame,
+                        () -> take(daemon, pools.get(daemon).onGrant(ids.get(0), grant.grant(), nowNanos)));
             } else if (action instanceof LedgerAction.SendRecall recall) {
-                send(0, daemon, () -> take(daemon, pools.get(daemon).onRecall(ids.get(0), recall.recall(), nowNanos)));
+                Frame.Builder frame = Frame.newBuilder().setSlotRecall(SlotCodec.encode(recall.recall()));
+                send(
+                        0,
+                        daemon,
+                        frame,
+                        () -> take(daemon, pools.get(daemon).onRecall(ids.get(0), recall.recall(), nowNanos)));
             }
         }
     }
 
-    private void send(int from, int to, Runnable delivery) {
+    private void send(int from, int to, Frame.Builder frame, Runnable delivery) {
         if (isMeasured(nowNanos)) {
-            result.messages++;
+            long bytes = LENGTH_PREFIX_BYTES
+                    + frame.setSender(ids.get(from).value())
+                            .setReceiver(ids.get(to).value())
+                            .build()
+                            .getSerializedSize();
+            switch (frame.getBodyCase()) {
+                case SLOT_REPORT -> result.reports++;
+                case SLOT_GRANT -> result.grants++;
+                default -> result.recalls++;
+            }
+            result.messageBytes += bytes;
         }
         after(site.delayNanos(from % Site.ZONES, to % Site.ZONES), delivery);
     }
--- a/bench/src/main/java/org/heatherreach/bench/slot/Floods.java
+++ b/bench/src/main/java/org/heatherreach/bench/slot/Floods.java
@@ -84,12 +84,14 @@
             }
         }
         double seconds = result.windowNanos / 1e9;
-        report.add(
-                workload.name() + " messages",
-                subject,
-                variant,
-                result.messages / seconds / Site.DAEMONS,
-                "1/s/daemon");
+        double perDaemon = 1 / seconds / Site.DAEMONS;
+        String perSecond = "1/s/daemon";
+        long messages = result.reports + result.grants + result.recalls;
+        report.add(workload.name() + " messages", subject, variant, messages * perDaemon, perSecond);
+        report.add(workload.name() + " reports", subject, variant, result.reports * perDaemon, perSecond);
+        report.add(workload.name() + " grants", subject, variant, result.grants * perDaemon, perSecond);
+        report.add(workload.name() + " recalls", subject, variant, result.recalls * perDaemon, perSecond);
+        report.add(workload.name() + " bytes", subject, variant, result.messageBytes * perDaemon, "B/s/daemon");
         report.add(workload.name() + " shed by servers", subject, variant, result.sheds / seconds, "1/s");
     }
 
--- a/bench/src/main/java/org/heatherreach/bench/slot/TrialResult.java
+++ b/bench/src/main/java/org/heatherreach/bench/slot/TrialResult.java
@@ -15,7 +15,10 @@
     final double[] busyNanos = new double[RANKS];
     final Histogram[] latencies = new Histogram[RANKS];
     final Histogram[] added = new Histogram[RANKS];
-    long messages;
+    long reports;
+    long grants;
+    long recalls;
+    long messageBytes;
     long sheds;
     double windowNanos;
 
