Let a calm rank use the whole headroom of the service at one daemon

Cause: a trace of requests that waited for more than 8 ms in calm traffic showed that they waited beside idle leased slots: the cap of their rank was the mean share of their daemon, rounded up, and rose by one per report. Change: while a rank is not limited, its cap at each daemon is what it needs there plus everything that the rank may still use at the service. The slots that the daemon holds bound what it can start before the next report.

--- a/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
@@ -365,9 +365,11 @@
                 fractions[index] = exact - Math.floor(exact);
                 apportion(index, (int) exact);
             } else {
+                // Held slots bound what a daemon starts before the next report, so each may have the whole headroom.
+                int headroom = Math.max(1, (int) (shares.ceilingSlots(rank) - queued[index] - running[index]));
                 for (View view : views.values()) {
                     double share = rates[index] > 0 ? view.rates[index] / rates[index] : 0;
-                    int cap = Math.max(view.queued[index] + view.running[index] + 1, (int)
+                    int cap = Math.max(view.queued[index] + view.running[index] + headroom, (int)
                             Math.ceil(share * shares.ceilingSlots(rank)));
                     setCap(view, index, cap);
                     view.credits[index] = 0;
--- a/coordination/src/test/java/org/heatherreach/coordination/slot/SlotApportionTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/slot/SlotApportionTest.java
@@ -25,11 +25,7 @@
     // Guards against a slot that stays idle beside a queue because the daemon with most arrivals needs no more.
     @Example
     void givesEverySlotThatTheBusiestDaemonLeaves() {
-        Map<Rank, RankLimits> ranks = new EnumMap<>(Rank.class);
-        for (Rank rank : Rank.values()) {
-            ranks.put(rank, new RankLimits(rank, 1, 20, 100, 1000));
-        }
-        SlotLedger ledger = new SlotLedger(new ServiceLimits(SERVICE, 50, 2, 100, 10), ranks, 0, 0);
+        SlotLedger ledger = new SlotLedger(new ServiceLimits(SERVICE, 50, 2, 100, 10), equalRanks(), 0, 0);
         ledger.onMembers(Map.of(BUSY, ZONE, QUIET, ZONE), 0);
         ledger.onServers(
                 List.of(
@@ -48,6 +44,37 @@
         assertThat(caps).containsEntry(BUSY, 4).containsEntry(QUIET, 2);
     }
 
+    // Guards against a request that waits for the owner beside an idle slot, because the cap of its rank is its
+    // daemon's
+    // mean share of the slots.
+    @Example
+    void calmRankMayUseWhatOthersLeaveAtOneDaemon() {
+        SlotLedger ledger = new SlotLedger(new ServiceLimits(SERVICE, 50, 6, 100, 10), equalRanks(), 0, 0);
+        Map<IncarnationId, ZoneId> members = new HashMap<>();
+        for (int daemon = 1; daemon <= 6; daemon++) {
+            members.put(new IncarnationId(daemon), ZONE);
+        }
+        ledger.onMembers(members, 0);
+        ledger.onServers(
+                List.of(new SlotServer(new ServerId("a"), ZONE, 100), new SlotServer(new ServerId("b"), ZONE, 100)), 0);
+        Map<IncarnationId, Integer> caps = new HashMap<>();
+        long nowNanos = SlotLedger.LEASE_NANOS;
+        for (IncarnationId daemon : members.keySet()) {
+            collect(caps, ledger.onReport(daemon, report(1, 1, 0, 10), nowNanos));
+        }
+        collect(caps, ledger.tick(nowNanos + LeasedSlotPool.REPORT_NANOS));
+        // 12 slots, of which six are in use.
+        assertThat(caps.values()).hasSize(6).allMatch(cap -> cap == 7);
+    }
+
+    private static Map<Rank, RankLimits> equalRanks() {
+        Map<Rank, RankLimits> ranks = new EnumMap<>(Rank.class);
+        for (Rank rank : Rank.values()) {
+            ranks.put(rank, new RankLimits(rank, 1, 20, 100, 1000));
+        }
+        return ranks;
+    }
+
     private static SlotReport report(int number, int running, int queued, double rate) {
         return new SlotReport(
                 SERVICE, 0, List.of(), List.of(new RankDemand(Rank.STANDARD, queued, running, rate)), number, 0);
