Generate the fault matrix of keyed requests and of the table

Change: org.heatherreach.bench.fault runs each fault (an enum with behaviour) at each step of a keyed request and of a table change, with the decision logic, the real compare-and-swap of TableStore over a store in memory, links in memory and a virtual clock. FaultMatrixTest fails on a failed cell, on a cell that neither ran nor has a reason, and if the naive version breaks no cell.

The control row without a fault is clean in both versions.

Conclusion: no fault of the decision logic was found in these cells.

--- a/bench/src/main/java/org/heatherreach/bench/BenchMain.java
+++ b/bench/src/main/java/org/heatherreach/bench/BenchMain.java
@@ -14,6 +14,7 @@
 import org.heatherreach.bench.detection.CrashBenchmark;
 import org.heatherreach.bench.detection.DetectionBenchmark;
 import org.heatherreach.bench.detection.HealthCostBenchmark;
+import org.heatherreach.bench.fault.FaultsBenchmark;
 import org.heatherreach.bench.slot.Floods;
 import org.heatherreach.bench.slot.SlotCost;
 import org.heatherreach.bench.spread.OnceCostBenchmark;
@@ -35,6 +36,7 @@
             new Floods(),
             new DetectionBenchmark(),
             new CrashBenchmark(),
+            new FaultsBenchmark(),
             new SlopesBenchmark(COSTS));
 
     private static final List<Benchmark> BENCHMARKS =
@@ -55,6 +57,11 @@
     @Parameter(names = "--plots", description = "Write one SVG bar chart for each metric", arity = 1)
     private boolean plots = true;
 
+    @Parameter(
+            names = "--page",
+            description = "Markdown page whose generated part is replaced by the page that a benchmark wrote")
+    private String page;
+
     @Parameter(names = "--help", help = true, description = "Show this help")
     private boolean help;
 
@@ -98,6 +105,9 @@
                 }
             }
             report.write(Path.of(outputDirectory));
+            if (page != null) {
+                new GeneratedPart(Path.of(page)).replace(report.pages());
+            }
             if (plots) {
                 new BenchPlot(report.rows()).write(Path.of(outputDirectory));
             }
--- a/bench/src/main/java/org/heatherreach/bench/BenchReport.java
+++ b/bench/src/main/java/org/heatherreach/bench/BenchReport.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -18,6 +19,7 @@
 public final class BenchReport {
     private final long seed;
     private final List<BenchRow> rows = new ArrayList<>();
+    private final Map<String, String> pages = new LinkedHashMap<>();
     private String benchmark = "";
 
     /** Creates an empty report for a run with the given seed. */
@@ -35,6 +37,16 @@
         rows.add(new BenchRow(benchmark, metric, subject, variant, value, unit));
     }
 
+    /** Adds a page of text, which is written as a file of the given name. */
+    public void addPage(String fileName, String text) {
+        pages.put(fileName, text);
+    }
+
+    /** Returns the pages by file name. */
+    public Map<String, String> pages() {
+        return Map.copyOf(pages);
+    }
+
     /** Returns the rows in the order in which they were added. */
     public List<BenchRow> rows() {
         return List.copyOf(rows);
@@ -59,7 +71,7 @@
     }
 
     /**
-     * Writes {@code results.json} and {@code summary.txt} into a directory.
+     * Writes {@code results.json}, {@code summary.txt} and the pages into a directory.
      *
      * @throws BenchException if a file can't be written
      */
@@ -69,6 +81,9 @@
             Files.createDirectories(directory);
             mapper.writeValue(directory.resolve("results.json").toFile(), Map.of("seed", seed, "rows", rows));
             Files.writeString(directory.resolve("summary.txt"), summary());
+            for (Map.Entry<String, String> page : pages.entrySet()) {
+                Files.writeString(directory.resolve(page.getKey()), page.getValue());
+            }
         } catch (IOException e) {
             throw new BenchException("cannot write results to " + directory, e);
         }
--- /dev/null
+++ b/bench/src/main/java/org/heatherreach/bench/fault/KeyedWorld.java
@@ -0,0 +1,449 @@
+package org.heatherreach.bench.fault;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import org.heatherreach.coordination.member.Member;
+import org.heatherreach.coordination.member.MemberAddress;
+import org.heatherreach.coordination.member.MemberState;
+import org.heatherreach.coordination.member.MemberView;
+import org.heatherreach.coordination.once.ExecutionKey;
+import org.heatherreach.coordination.once.ExecutionRecords;
+import org.heatherreach.coordination.once.IntentAck;
+import org.heatherreach.coordination.once.KeyAttempt;
+import org.heatherreach.coordination.once.KeyIssuer;
+import org.heatherreach.coordination.once.NaiveExecutionRecords;
+import org.heatherreach.coordination.once.NaiveOutcomeLookup;
+import org.heatherreach.coordination.once.OnceAction;
+import org.heatherreach.coordination.once.OnceExecutor;
+import org.heatherreach.coordination.once.OnceLimits;
+import org.heatherreach.coordination.once.OutcomeAnswer;
+import org.heatherreach.coordination.once.OutcomeLookup;
+import org.heatherreach.coordination.once.OutcomeQuery;
+import org.heatherreach.coordination.once.OutcomeResolver;
+import org.heatherreach.coordination.once.RecordedAnswer;
+import org.heatherreach.coordination.once.WitnessRecords;
+import org.heatherreach.state.id.DaemonId;
+import org.heatherreach.state.id.IncarnationId;
+import org.heatherreach.state.id.RegionId;
+import org.heatherreach.state.id.RequestId;
+import org.heatherreach.state.id.ZoneId;
+import org.heatherreach.state.outcome.Outcome;
+import org.heatherreach.state.outcome.RefusalReason;
+import org.heatherreach.state.rank.Rank;
+
+/**
+ * One keyed request of rank urgent, which its caller sends again after a short wait, after faults were detected, and
+ * after they ended. Checks each run of each key, each "not run" and each answer. Confined to one thread.
+ */
+final class KeyedWorld extends FaultWorld {
+    private static final int DAEMONS = 9;
+    private static final int EXECUTOR = 0;
+    private static final long FINGERPRINT = 42;
+    /** A silent daemon is no longer a member after a ping, its repeat and a suspicion. */
+    private static final long DETECTION_MILLIS = 5_000;
+
+    private static final long FORWARD_TIMEOUT_MILLIS = 1_000;
+    private static final int RUN_MILLIS = 30;
+    private static final int CRASH_MILLIS = 20;
+    private static final int FLOOD_REQUESTS = 600;
+    private static final int FLOOD_GAP_MILLIS = 2;
+    private static final double FLOOD_SHEDDING = 0.3;
+    /** Room for fewer records than a flood brings. */
+    private static final OnceLimits LIMITS = new OnceLimits(
+            TimeUnit.MINUTES.toNanos(10), TimeUnit.SECONDS.toNanos(1), TimeUnit.SECONDS.toNanos(3), 200, 300, 1L << 20);
+
+    private final List<Node> nodes = new ArrayList<>();
+    private final Map<RequestId, Integer> entries = new HashMap<>();
+    private final Map<RequestId, ExecutionKey> keys = new HashMap<>();
+    private final Map<RequestId, Object> answers = new HashMap<>();
+    private final Map<ExecutionKey, Integer> runs = new HashMap<>();
+    private final Set<ExecutionKey> barred = new HashSet<>();
+    private ExecutionKey key;
+    private int other = 4;
+    private int requests;
+    private boolean crashing;
+    private Rank flooded;
+
+    KeyedWorld(boolean naive, long seed) {
+        super(naive, seed, DAEMONS);
+        for (int i = 0; i < DAEMONS; i++) {
+            nodes.add(new Node(i));
+        }
+        for (int i = 0; i < DAEMONS; i++) {
+            start(i);
+        }
+    }
+
+    @Override
+    void run() {
+        other = List.of(4, 5, 8).get(random.nextInt(3));
+        int entry = random.nextInt(3) == 0 ? 7 : EXECUTOR;
+        long resendMillis = 60 + random.nextInt(240);
+        advance(200);
+        key = nodes.get(EXECUTOR).issue();
+        arm();
+        reach(Step.KEY_ISSUED);
+        List<RequestId> sends = new ArrayList<>();
+        sends.add(submit(entry, key, null));
+        advance(resendMillis);
+        sends.add(submit(other, key, Step.RESENT));
+        advance(7_000);
+        sends.add(submit(other, key, Step.RESENT));
+        advance(10_000);
+        disarm();
+        repairAll();
+        crashing = false;
+        flooded = null;
+        advance(500);
+        List<RequestId> last = new ArrayList<>();
+        for (int node : List.of(EXECUTOR, other)) {
+            if (isRunning(node)) {
+                last.add(submit(node, key, null));
+            }
+        }
+        advance(5_000);
+        for (RequestId send : last) {
+            if (!answers.containsKey(send)) {
+                violate(send + " had no answer 5 s after the fault");
+            }
+        }
+        if (answers.values().stream().anyMatch(RecordedAnswer.class::isInstance) && !runs.containsKey(key)) {
+            violate("an answer of a server for a request that never ran");
+        }
+        if (allBegun()) {
+            sends.forEach(send -> note(send + ": " + answers.get(send)));
+        }
+    }
+
+    @Override
+    List<Integer> victims() {
+        return List.of(EXECUTOR, indexOf(key.firstWitness(), 3), indexOf(key.secondWitness(), 1), other);
+    }
+
+    @Override
+    void startProcess(int node) {
+        nodes.get(node).start();
+    }
+
+    @Override
+    void tick(int node) {
+        nodes.get(node).tick();
+    }
+
+    @Override
+    void lapse(int victim) {
+        pause(victim);
+        after(TimeUnit.NANOSECONDS.toMillis(LIMITS.activityNanos()) + 50, () -> resume(victim));
+    }
+
+    @Override
+    void crashServers(boolean begins) {
+        crashing = begins;
+    }
+
+    @Override
+    void flood(Rank rank, boolean begins) {
+        flooded = begins ? rank : null;
+        for (int i = 0; begins && i < FLOOD_REQUESTS; i++) {
+            after(i * FLOOD_GAP_MILLIS, () -> {
+                if (flooded != null && isRunning(EXECUTOR)) {
+                    submit(EXECUTOR, nodes.get(EXECUTOR).issue(), null);
+                }
+            });
+        }
+    }
+
+    /** The request is urgent, so the less urgent a flood is, the less it has to wait for a slot. */
+    private long slotWaitMillis() {
+        if (flooded == null) {
+            return 5;
+        }
+        return switch (flooded) {
+            case URGENT -> 300;
+            case STANDARD -> 60;
+            case BULK -> 20;
+        };
+    }
+
+    private RequestId submit(int entry, ExecutionKey sent, Step step) {
+        RequestId request = new RequestId("send-" + requests++);
+        entries.put(request, entry);
+        keys.put(request, sent);
+        arrive(entry, 1, step, () -> nodes.get(entry).accept(sent, request, true));
+        return request;
+    }
+
+    private int indexOf(IncarnationId incarnation, int fallback) {
+        for (Node node : nodes) {
+            if (node.self.incarnation().equals(incarnation)) {
+                return node.index;
+            }
+        }
+        return fallback;
+    }
+
+    private MemberView view() {
+        return new MemberView(IntStream.range(0, DAEMONS)
+                .filter(node -> silentMillis(node) < DETECTION_MILLIS)
+                .mapToObj(node -> nodes.get(node).self)
+                .toList());
+    }
+
+    /** The request is on its way to a server and runs there whatever happens to the executor. */
+    private void dispatch(Node executor, OnceAction.Dispatch dispatch) {
+        boolean shed = flooded != null && random.nextDouble() < FLOOD_SHEDDING;
+        KeyAttempt attempt = dispatch.attempt();
+        boolean watched = attempt.key().equals(key);
+        at(1, watched ? Step.DISPATCHED : null, () -> {
+            boolean crash = crashing && watched;
+            if (!shed) {
+                serve(attempt.key());
+            }
+            executor.await(crash ? CRASH_MILLIS : RUN_MILLIS, watched ? Step.BACKEND_ANSWERED : null, () -> {
+                if (shed) {
+                    executor.end(
+                            dispatch,
+                            RefusalReason.SERVERS_SHED,
+                            executor.records.refuse(attempt, RefusalReason.SERVERS_SHED, nowNanos));
+                } else if (crash || crashing && watched) {
+                    executor.end(
+                            dispatch,
+                            RefusalReason.SERVER_LOST,
+                            executor.records.lose(attempt, RefusalReason.SERVER_LOST, nowNanos));
+                } else {
+                    RecordedAnswer answer = new RecordedAnswer(200, "", bytes(attempt.key()), true);
+                    executor.perform(executor.records.complete(attempt, answer, nowNanos));
+                    executor.reply(dispatch.request(), answer);
+                    if (naive && watched) {
+                        executor.await(1, Step.OUTCOME_COPIED, () -> {});
+                    }
+                }
+            });
+        });
+    }
+
+    private void at(long millis, Step step, Runnable action) {
+        after(millis, () -> {
+            if (step != null) {
+                reach(step);
+            }
+            action.run();
+        });
+    }
+
+    private void serve(ExecutionKey served) {
+        int count = runs.merge(served, 1, Integer::sum);
+        if (count > 1) {
+            violate(served + " ran " + count + " times");
+        }
+        if (barred.contains(served)) {
+            violate(served + " ran after it was barred");
+        }
+    }
+
+    private void answer(RequestId request, Object answer) {
+        if (!isUp(entries.get(request)) || answers.putIfAbsent(request, answer) != null) {
+            return;
+        }
+        ExecutionKey asked = keys.get(request);
+        if (answer instanceof RecordedAnswer recorded) {
+            if (!new String(recorded.body(), StandardCharsets.UTF_8).equals(asked.toString())) {
+                violate("answer of another key for " + asked);
+            }
+            return;
+        }
+        RefusalReason reason = (RefusalReason) answer;
+        if (reason.outcome() == Outcome.NOT_RUN) {
+            if (runs.containsKey(asked)) {
+                violate("\"not run\" (" + reason + ") for " + asked + ", which ran");
+            }
+            if (reason == RefusalReason.KEY_BARRED) {
+                barred.add(asked);
+            }
+        }
+    }
+
+    private static byte[] bytes(ExecutionKey key) {
+        return key.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** One daemon. */
+    private final class Node {
+        private final int index;
+        private final Set<RequestId> forwarded = new HashSet<>();
+        private Member self;
+        private OnceExecutor records;
+        private WitnessRecords witness;
+        private OutcomeLookup lookups;
+        private KeyIssuer issuer;
+
+        Node(int index) {
+            this.index = index;
+        }
+
+        private void start() {
+            self = new Member(
+                    new DaemonId("daemon-" + index),
+                    new IncarnationId(random.nextLong() | 1),
+                    0,
+                    MemberState.ALIVE,
+                    new ZoneId("z" + index % 3),
+                    new RegionId("r0"),
+                    new MemberAddress("10.0.0." + (index + 1), 7_000),
+                    8_000,
+                    0);
+            records = naive ? new NaiveExecutionRecords() : new ExecutionRecords(self.incarnation(), LIMITS, nowNanos);
+            witness = new WitnessRecords(self.incarnation(), LIMITS);
+            lookups = naive ? new NaiveOutcomeLookup() : new OutcomeResolver();
+            issuer = new KeyIssuer(self, LIMITS, new Random(random.nextLong()));
+            forwarded.clear();
+        }
+
+        private ExecutionKey issue() {
+            return issuer.issue(view(), nowNanos).orElseThrow();
+        }
+
+        private void tick() {
+            boolean heard = IntStream.range(0, DAEMONS)
+                    .anyMatch(peer -> peer != index && isRunning(peer) && !isCut(index, peer) && !isCut(peer, index));
+            if (heard) {
+                records.extendActivity(nowNanos - MILLIS);
+            }
+            perform(records.tick(nowNanos));
+            witness.tick(nowNanos);
+            perform(lookups.tick(nowNanos));
+        }
+
+        private void await(long millis, Step step, Runnable action) {
+            later(index, millis, step, action);
+        }
+
+        private boolean sendTo(IncarnationId to, Step step, Runnable action) {
+            int target = indexOf(to, -1);
+            return target >= 0 && send(index, target, true, step, action);
+        }
+
+        private void accept(ExecutionKey sent, RequestId request, boolean mayForward) {
+            if (sent.issuer().equals(self.incarnation())) {
+                perform(records.begin(sent, FINGERPRINT, request, nowNanos));
+                return;
+            }
+            int executor = indexOf(sent.issuer(), -1);
+            boolean forwards = mayForward
+                    && view().contains(sent.issuer())
+                    && sendTo(sent.issuer(), null, () -> nodes.get(executor).accept(sent, request, false));
+            if (forwards) {
+                forwarded.add(request);
+                await(FORWARD_TIMEOUT_MILLIS, null, () -> {
+                    if (forwarded.remove(request)) {
+                        lookUp(sent, request);
+                    }
+                });
+            } else {
+                lookUp(sent, request);
+            }
+        }
+
+        private void lookUp(ExecutionKey sent, RequestId request) {
+            perform(lookups.begin(sent, OptionalLong.of(FINGERPRINT), request, view(), nowNanos));
+        }
+
+        private void reply(RequestId request, Object answer) {
+            int entry = entries.get(request);
+            if (entry == index) {
+                answer(request, answer);
+            } else {
+                sendTo(nodes.get(entry).self.incarnation(), null, () -> {
+                    if (nodes.get(entry).forwarded.remove(request)) {
+                        answer(request, answer);
+                    }
+                });
+            }
+        }
+
+        /** The naive version reports nothing about an attempt that ended without an answer. */
+        private void end(OnceAction.Dispatch dispatch, RefusalReason reason, List<OnceAction> actions) {
+            perform(actions);
+            if (naive) {
+                reply(dispatch.request(), reason);
+            }
+        }
+
+        private void perform(List<OnceAction> actions) {
+            for (OnceAction action : actions) {
+                if (action instanceof OnceAction.Admit admit) {
+                    prepare(admit);
+                } else if (action instanceof OnceAction.SendIntent intent) {
+                    sendIntent(intent);
+                } else if (action instanceof OnceAction.Dispatch dispatch) {
+                    dispatch(this, dispatch);
+                } else if (action instanceof OnceAction.SendOutcome outcome) {
+                    Step step = outcome.copy().attempt().key().equals(key) ? Step.OUTCOME_COPIED : null;
+                    Node to = nodes.get(indexOf(outcome.witness(), 0));
+                    sendTo(outcome.witness(), step, () -> to.witness.record(outcome.copy(), nowNanos));
+                } else if (action instanceof OnceAction.Replay replay) {
+                    reply(replay.request(), replay.answer());
+                } else if (action instanceof OnceAction.Refuse refuse) {
+                    reply(refuse.request(), refuse.reason());
+                } else if (action instanceof OnceAction.SendQuery query) {
+                    sendQuery(query);
+                } else if (action instanceof OnceAction.RunAgain again) {
+                    perform(records.begin(again.key(), FINGERPRINT, again.request(), nowNanos));
+                }
+            }
+        }
+
+        /** The naive version has no witnesses; its faults begin where the product would ask them. */
+        private void prepare(OnceAction.Admit admit) {
+            KeyAttempt attempt = admit.attempt();
+            if (naive && attempt.key().equals(key)) {
+                await(
+                        slotWaitMillis(),
+                        Step.INTENT_SENT,
+                        () -> await(2, Step.INTENT_ACKNOWLEDGED, () -> perform(records.prepare(attempt, nowNanos))));
+            } else {
+                await(slotWaitMillis(), null, () -> perform(records.prepare(attempt, nowNanos)));
+            }
+        }
+
+        private void sendIntent(OnceAction.SendIntent intent) {
+            boolean watched = intent.intent().attempt().key().equals(key);
+            IncarnationId own = self.incarnation();
+            int to = indexOf(intent.witness(), -1);
+            sendTo(intent.witness(), watched ? Step.INTENT_SENT : null, () -> {
+                IntentAck ack = nodes.get(to).witness.intent(intent.intent(), nowNanos);
+                nodes.get(to)
+                        .sendTo(
+                                own,
+                                watched ? Step.INTENT_ACKNOWLEDGED : null,
+                                () -> perform(records.acknowledge(intent.witness(), ack, nowNanos)));
+            });
+        }
+
+        private void sendQuery(OnceAction.SendQuery send) {
+            int to = indexOf(send.to(), -1);
+            IncarnationId own = self.incarnation();
+            boolean sent = sendTo(send.to(), null, () -> {
+                Node asked = nodes.get(to);
+                OutcomeQuery query = send.query();
+                OutcomeAnswer answer = query.key().issuer().equals(send.to())
+                        ? asked.records.query(query, nowNanos)
+                        : asked.witness.query(query, nowNanos);
+                asked.sendTo(own, null, () -> perform(lookups.answer(send.to(), answer, nowNanos)));
+            });
+            if (!sent) {
+                perform(lookups.fail(send.to(), send.query().key(), nowNanos));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/heatherreach/bench/fault/StoreMode.java
@@ -0,0 +1,9 @@
+package org.heatherreach.bench.fault;
+
+/** How the store behaves. */
+enum StoreMode {
+    NORMAL,
+    OUTAGE,
+    SLOW,
+    ANSWER_LOST
+}
