Ignore slots in messages that outwaited the leases of their daemon

Cause: a daemon that was paused for more than 2 s finds grants and recalls in its buffers that the owner sent before it took the leases for expired. The first one let the pool notice the expiry and drop its slots; each later one set them again. The pool then reported these slots as held. The owner, which had forgotten the daemon, counted their use on top of its other leases, and its answer, whose sequence started behind the one that the pool had applied, made the leases valid without correcting them. A report to a new owner could name expired slots in the same way.

Change: a pool whose leases have expired notes the sequence of a late message but takes no slots from it, and drops expired slots before each report.

SlotFleetTest#messagesThatOutwaitedTheLeasesGiveNoSlots fails without the change and passes with it.

--- a/coordination/src/main/java/org/heatherreach/coordination/slot/LeasedSlotPool.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/LeasedSlotPool.java
@@ -269,10 +269,10 @@
                 }
             }
         }
-        applyLeases(grant.leases(), grant.sequence());
         if (leaseDeadlineNanos - nowNanos > 0) {
             local = false;
         }
+        applyLeases(grant.leases(), grant.sequence(), nowNanos);
         drain(nowNanos, actions);
         return actions;
     }
@@ -284,7 +284,7 @@
             return actions;
         }
         if (recall.sequence() > appliedSequence) {
-            applyLeases(recall.leases(), recall.sequence());
+            applyLeases(recall.leases(), recall.sequence(), nowNanos);
             // The owner counts on the return even if a report with it has crossed the recall.
             reportWanted = true;
         }
@@ -292,11 +292,17 @@
         return actions;
     }
 
-    private void applyLeases(List<SlotLease> leases, long sequence) {
+    private void applyLeases(List<SlotLease> leases, long sequence, long nowNanos) {
+        useLocalShareIfDue(nowNanos);
         if (sequence <= appliedSequence) {
             return;
         }
         appliedSequence = sequence;
+        if (local) {
+            // The message waited, as during a pause, until the leases had expired; the owner may have leased the slots
+            // to other daemons since.
+            return;
+        }
         for (SlotLease lease : leases) {
             Server server = servers.computeIfAbsent(lease.server(), Server::new);
             // The owner can lease a returned slot to another daemon only after the next report.
@@ -733,6 +739,8 @@
         if (!reportWanted || owner == null || reported && nowNanos - lastReportNanos < MIN_REPORT_GAP_NANOS) {
             return;
         }
+        // A new owner would take reported holdings over, so expired ones must not be among them.
+        useLocalShareIfDue(nowNanos);
         reportWanted = false;
         reported = true;
         lastReportNanos = nowNanos;
--- a/coordination/src/test/java/org/heatherreach/coordination/slot/SlotFleetTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/slot/SlotFleetTest.java
@@ -43,6 +43,63 @@
         return fleet;
     }
 
+    // Guards against a daemon that wakes from a pause, takes up slots from grants and recalls that waited while its
+    // leases expired, and so uses and reports slots which the owner has leased to others since.
+    @Example
+    void messagesThatOutwaitedTheLeasesGiveNoSlots() {
+        ServerId server = new ServerId("s0");
+        long nowNanos = 1_000 * SlotFleet.MILLI;
+        LeasedSlotPool pool = new LeasedSlotPool(
+                SlotFleet.limits(), SlotFleet.ranks(), 0, new ZoneId("z0"), workspace -> 2, new Random(1), nowNanos);
+        pool.onServers(List.of(new SlotServer(server, new ZoneId("z0"), 100)), SlotFleet.DAEMONS, nowNanos);
+        List<SlotAction> actions = new ArrayList<>(pool.onOwner(SlotFleet.OWNER, nowNanos));
+        actions.addAll(pool.submit(request("first", nowNanos), nowNanos));
+        pool.onGrant(SlotFleet.OWNER, grant(server, 1, lastReport(actions).number(), 1), nowNanos);
+        assertThat(pool.heldOf(server, nowNanos)).isEqualTo(1);
+        nowNanos += SlotLedger.LEASE_NANOS + SlotFleet.MILLI;
+        pool.onGrant(SlotFleet.OWNER, grant(server, 1, 0, 2), nowNanos);
+        pool.onGrant(SlotFleet.OWNER, grant(server, 2, 0, 3), nowNanos);
+        pool.onRecall(
+                SlotFleet.OWNER,
+                new SlotRecall(SlotFleet.limits().service(), 0, List.of(new SlotLease(server, 1)), 4),
+                nowNanos);
+        nowNanos += SlotFleet.MILLI;
+        actions = new ArrayList<>(pool.submit(request("second", nowNanos), nowNanos));
+        actions.addAll(pool.tick(nowNanos + 250 * SlotFleet.MILLI));
+        nowNanos += 250 * SlotFleet.MILLI;
+        SlotReport report = lastReport(actions);
+        assertThat(report.holdings()).allMatch(holding -> holding.held() == 0);
+        // The owner has forgotten the daemon in the meantime, so its sequence is behind.
+        pool.onGrant(SlotFleet.OWNER, grant(server, 1, report.number(), 2), nowNanos);
+        assertThat(pool.hasValidLeases(nowNanos)).isTrue();
+        assertThat(pool.heldOf(server, nowNanos)).isZero();
+    }
+
+    private static SlotRequest request(String id, long nowNanos) {
+        long deadlineNanos = nowNanos + 1_000 * SlotFleet.MILLI;
+        return new SlotRequest(new RequestId(id), Rank.URGENT, deadlineNanos, Option.none(), server -> true);
+    }
+
+    private static SlotGrant grant(ServerId server, int count, long reportNumber, long sequence) {
+        return new SlotGrant(
+                SlotFleet.limits().service(),
+                0,
+                List.of(new SlotLease(server, count)),
+                (int) (SlotLedger.LEASE_NANOS / SlotFleet.MILLI),
+                reportNumber,
+                sequence,
+                List.of(9, 9, 9),
+                9);
+    }
+
+    private static SlotReport lastReport(List<SlotAction> actions) {
+        return actions.stream()
+                .filter(SlotAction.SendReport.class::isInstance)
+                .map(action -> ((SlotAction.SendReport) action).report())
+                .reduce((first, second) -> second)
+                .orElseThrow();
+    }
+
     /** Completed requests by rank while every daemon has work of every rank; bulk work comes ten times as often. */
     private static int[] serveSaturated(boolean naive, long seed) {
         Random random = new Random(seed);
