--- a/standins/src/main/java/org/heatherreach/standins/KeyValueEntry.java
+++ b/standins/src/main/java/org/heatherreach/standins/KeyValueEntry.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /**
@@ -24,6 +25,17 @@
         return node;
     }
 
+    /** Reads what {@link #toJson} wrote. */
+    static KeyValueEntry of(JsonNode node) {
+        return new KeyValueEntry(
+                new String(Base64.getDecoder().decode(node.path("key").asText()), StandardCharsets.ISO_8859_1),
+                Base64.getDecoder().decode(node.path("value").asText("")),
+                node.path("create_revision").asLong(0),
+                node.path("mod_revision").asLong(0),
+                node.path("version").asLong(0),
+                node.path("lease").asLong(0));
+    }
+
     static void putLong(ObjectNode node, String field, long number) {
         if (number != 0) {
             node.put(field, Long.toString(number));
--- a/standins/src/main/java/org/heatherreach/standins/KeyValueState.java
+++ b/standins/src/main/java/org/heatherreach/standins/KeyValueState.java
@@ -235,6 +235,36 @@
         return List.copyOf(entries.keySet());
     }
 
+    /** Returns the entries, leases and counters. Past events are left out. */
+    synchronized ObjectNode snapshot() {
+        ObjectNode node = Json.object().put("revision", revision).put("nextLease", nextLease);
+        ArrayNode kept = node.putArray("entries");
+        entries.values().forEach(entry -> kept.add(entry.toJson(false)));
+        ObjectNode ttls = node.putObject("leases");
+        leases.forEach((id, lease) -> ttls.put(Long.toString(id), lease.ttlSeconds()));
+        return node;
+    }
+
+    /**
+     * Takes over a snapshot. As after a compaction, a watch from an earlier revision is cancelled; leases get their
+     * whole time again, as in etcd after a change of its leader.
+     */
+    synchronized void restore(JsonNode snapshot, long nowNanos) {
+        entries.clear();
+        snapshot.path("entries").forEach(node -> {
+            KeyValueEntry entry = KeyValueEntry.of(node);
+            entries.put(entry.key(), entry);
+        });
+        leases.clear();
+        snapshot.path("leases").properties().forEach(lease -> {
+            long ttlSeconds = lease.getValue().asLong();
+            leases.put(Long.parseLong(lease.getKey()), new Lease(ttlSeconds, nowNanos + ttlSeconds * NANOS_PER_SECOND));
+        });
+        revision = snapshot.path("revision").asLong(1);
+        nextLease = snapshot.path("nextLease").asLong(1);
+        compact();
+    }
+
     private ObjectNode apply(JsonNode operation) {
         ObjectNode response = Json.object();
         if (operation.has("request_put")) {
--- a/standins/src/main/java/org/heatherreach/standins/StoreCommand.java
+++ b/standins/src/main/java/org/heatherreach/standins/StoreCommand.java
@@ -1,5 +1,8 @@
 package org.heatherreach.standins;
 
+import java.nio.file.Path;
+import java.util.Optional;
+
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 
@@ -24,11 +27,14 @@
     @Parameter(names = "--progress-ms", description = "Interval of progress notifications on watches")
     private int progressMillis = 1000;
 
+    @Parameter(names = "--snapshot", description = "File that keeps the data when the process ends")
+    private Path snapshot;
+
     @Override
     @SuppressWarnings("resource")
     public String start() {
-        StoreServer server = new StoreServer(
-                new StoreSettings(host, port, adminPort, writesPerSecond, readsPerSecond, progressMillis));
+        StoreServer server = new StoreServer(new StoreSettings(
+                host, port, adminPort, writesPerSecond, readsPerSecond, progressMillis, Optional.ofNullable(snapshot)));
         return "store " + host + " port " + server.port() + " admin " + server.adminPort();
     }
 }
--- a/standins/src/main/java/org/heatherreach/standins/StoreServer.java
+++ b/standins/src/main/java/org/heatherreach/standins/StoreServer.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
@@ -27,7 +28,8 @@
 
 /**
  * A stand-in for the key-value service: a subset of the etcd v3 JSON gateway with rate limits, call counts and
- * switchable faults. Data is kept in memory and survives outages. Safe for use by any thread.
+ * switchable faults. Data is kept in memory and survives outages; with a snapshot file it also survives the process. A
+ * write is in the file before it is answered. Safe for use by any thread.
  */
 public final class StoreServer implements AutoCloseable {
     private static final Set<String> WRITES =
@@ -35,6 +37,7 @@
     private static final Duration LEASE_CHECK_INTERVAL = Duration.ofMillis(100);
 
     private final KeyValueState state = new KeyValueState();
+    private final Optional<StoreSnapshot> snapshot;
     private final AtomicInteger responsesToLose = new AtomicInteger();
     private final Map<String, AtomicLong> counters = new ConcurrentHashMap<>();
     private final RateLimit writes;
@@ -48,6 +51,8 @@
     /** Starts the server and its admin endpoint. */
     public StoreServer(StoreSettings settings) {
         long nowNanos = System.nanoTime();
+        snapshot = settings.snapshot().map(StoreSnapshot::new);
+        snapshot.ifPresent(file -> file.load(state, nowNanos));
         writes = new RateLimit(settings.writesPerSecond(), nowNanos);
         reads = new RateLimit(settings.readsPerSecond(), nowNanos);
         server = HttpServer.create()
@@ -151,6 +156,9 @@
         try {
             admit(path);
             text = Json.write(dispatch(path, parse(body)));
+            if (WRITES.contains(path)) {
+                snapshot.ifPresent(file -> file.save(state));
+            }
         } catch (StoreException e) {
             return refuse(response, e);
         }
--- a/standins/src/test/java/org/heatherreach/standins/StoreServerTest.java
+++ b/standins/src/test/java/org/heatherreach/standins/StoreServerTest.java
@@ -8,7 +8,10 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Base64;
+import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import net.jqwik.api.Example;
@@ -130,6 +133,31 @@
         }
     }
 
+    // Guards against an acknowledged write, a lease or a revision that is lost with the process.
+    @Example
+    void snapshotKeepsDataAndRevisionsAcrossProcesses() throws Exception {
+        Path file = Files.createTempDirectory("store").resolve("snapshot.json");
+        StoreSettings settings = new StoreSettings("127.0.0.1", 0, 0, 300, 2000, 1000, Optional.of(file));
+        JsonNode before;
+        try (StoreServer store = new StoreServer(settings)) {
+            call(store, "/v3/lease/grant", "{\"TTL\":\"60\",\"ID\":\"7\"}");
+            call(store, "/v3/kv/put", "{\"key\":\"Zm9v\",\"value\":\"MQ==\"}");
+            call(store, "/v3/kv/put", "{\"key\":\"Zm9v\",\"value\":\"YmFy\",\"lease\":\"7\"}");
+            before = call(store, "/v3/kv/range", "{\"key\":\"Zm9v\"}");
+        }
+        try (StoreServer store = new StoreServer(settings)) {
+            assertThat(call(store, "/v3/kv/range", "{\"key\":\"Zm9v\"}")).isEqualTo(before);
+            assertThat(call(store, "/v3/kv/put", "{\"key\":\"Zm8=\",\"value\":\"MQ==\"}")
+                            .at("/header/revision")
+                            .asText())
+                    .isEqualTo("4");
+            assertThat(store.expireAllLeases()).isEqualTo(1);
+            assertThat(store.keys()).containsExactly("fo");
+            assertThat(call(store, "/v3/kv/range", "{\"key\":\"Zm9v\"}").has("kvs"))
+                    .isFalse();
+        }
+    }
+
     private JsonNode call(StoreServer store, String path, String body) throws IOException, InterruptedException {
         HttpResponse<String> response = client.send(request(store, path, body), HttpResponse.BodyHandlers.ofString());
         assertThat(response.statusCode()).as(response.body()).isEqualTo(200);
