Explain what became of a request by its id

Cause: `heatherreach explain` knew servers and refusal reasons only; a request id led nowhere.

Change: each daemon keeps its last 4,096 ended requests (service, rank, workspace, times, attempts with failure kind, outcome, reason) and serves them at GET /heatherreach/explain/{id}. An id that a daemon drew names its incarnation, so the tool asks that daemon alone; other ids are asked from all daemons. An id that was drawn but is not kept is answered with status 410; the tool ends with exit code 7 for it and for an unknown id, and with 3 if the named daemon does not answer.

Before: nothing kept. Tests of standins, transport, tools and daemon pass but ScheduleDutyTest#losesNoCompletionWhenTheRingIsFull, which failed once in one run ("not accepted", line 110) and concerns code that this change does not touch.

--- a/daemon/src/main/java/org/heatherreach/daemon/DaemonParts.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/DaemonParts.java
@@ -12,6 +12,7 @@
 import org.heatherreach.transport.http.Endpoint;
 import org.heatherreach.transport.http.ExchangeObserver;
 import org.heatherreach.transport.http.KeyedExecution;
+import org.heatherreach.transport.http.RequestHistory;
 import org.heatherreach.transport.http.RequestScheduler;
 import org.heatherreach.transport.http.ServiceCatalog;
 import org.heatherreach.transport.http.ServingGate;
@@ -28,6 +29,8 @@
  * @param keyed guards requests with execution keys, if that part is present
  * @param observer receives evidence on servers
  * @param crashFilter knows requests that crash servers
+ * @param requestIds draws a new request id
+ * @param history keeps the last requests that ended
  * @param endpoints further endpoints, by method, a space and the path
  */
 public record DaemonParts(
@@ -40,6 +43,8 @@
         Option<KeyedExecution> keyed,
         ExchangeObserver observer,
         CrashFilter crashFilter,
+        RequestIdSource requestIds,
+        RequestHistory history,
         Map<String, Endpoint> endpoints) {
     /** Creates the parts. */
     public DaemonParts {
@@ -52,6 +57,8 @@
         Objects.requireNonNull(keyed, "keyed");
         Objects.requireNonNull(observer, "observer");
         Objects.requireNonNull(crashFilter, "crashFilter");
+        Objects.requireNonNull(requestIds, "requestIds");
+        Objects.requireNonNull(history, "history");
         endpoints = Map.copyOf(endpoints);
     }
 }
--- a/daemon/src/main/java/org/heatherreach/daemon/HttpDaemon.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/HttpDaemon.java
@@ -5,13 +5,9 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Supplier;
 
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vavr.control.Option;
-import org.heatherreach.state.id.IncarnationId;
-import org.heatherreach.state.id.RequestId;
 import org.heatherreach.state.id.ServiceId;
 import org.heatherreach.transport.http.CallerServer;
 import org.heatherreach.transport.http.Endpoint;
@@ -59,7 +55,8 @@
                 parts.crashFilter(),
                 meters,
                 parts.incarnation(),
-                requestIds(parts.incarnation()));
+                parts.requestIds(),
+                parts.history());
         this.addressAnswer = new AddressAnswer(settings.addressKeepMillis());
         Map<String, Endpoint> endpoints = new LinkedHashMap<>(parts.endpoints());
         endpoints.put("GET /heatherreach/health", (argument, body) -> Mono.just(health()));
@@ -154,12 +151,6 @@
                 parts.registry().scrape().getBytes(StandardCharsets.UTF_8));
     }
 
-    private static Supplier<RequestId> requestIds(IncarnationId incarnation) {
-        AtomicLong sequence = new AtomicLong();
-        String prefix = incarnation + "-";
-        return () -> new RequestId(prefix + Long.toHexString(sequence.incrementAndGet()));
-    }
-
     private static void sleep(long millis) {
         try {
             Thread.sleep(millis);
--- a/daemon/src/main/java/org/heatherreach/daemon/StandaloneParts.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/StandaloneParts.java
@@ -16,6 +16,7 @@
 import org.heatherreach.transport.http.LocalScheduler;
 import org.heatherreach.transport.http.NaiveScheduler;
 import org.heatherreach.transport.http.ProxyMode;
+import org.heatherreach.transport.http.RequestHistory;
 import org.heatherreach.transport.http.RequestScheduler;
 import org.heatherreach.transport.http.ServingGate;
 
@@ -28,17 +29,21 @@
         ServingGate gate = new ServingGate();
         SettingsCatalog catalog = new SettingsCatalog(settings);
         RequestScheduler scheduler = scheduler(settings, catalog);
+        IncarnationId incarnation =
+                new IncarnationId(ThreadLocalRandom.current().nextLong());
         settings.services().forEach((service, entry) -> scheduler.changeServers(service, entry.servers()));
         return new DaemonParts(
                 new PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
                 gate,
-                new IncarnationId(ThreadLocalRandom.current().nextLong()),
+                incarnation,
                 catalog,
                 scheduler,
                 port -> addressBook(settings, gate, port),
                 Option.none(),
                 ExchangeObserver.NONE,
                 (service, fingerprint) -> false,
+                new RequestIdSource(incarnation),
+                new RequestHistory(RequestHistory.STANDARD_ENTRIES),
                 Map.of());
     }
 
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/FleetDaemon.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/FleetDaemon.java
@@ -30,9 +30,11 @@
 import org.heatherreach.daemon.DaemonSettings;
 import org.heatherreach.daemon.FleetSettings;
 import org.heatherreach.daemon.HttpDaemon;
+import org.heatherreach.daemon.RequestIdSource;
 import org.heatherreach.state.id.IncarnationId;
 import org.heatherreach.state.id.ServiceId;
 import org.heatherreach.transport.http.Endpoint;
+import org.heatherreach.transport.http.RequestHistory;
 import org.heatherreach.transport.http.ServingGate;
 import org.heatherreach.transport.kv.HttpKeyValueStore;
 import org.heatherreach.transport.kv.TableStore;
@@ -124,7 +126,11 @@
         vmList = fleet.vmList().map(address -> new VmList(address, servers, memberDuty::changeListed, registry));
         FleetStatus status = new FleetStatus(directory, catalog, tableDuty, gate);
         Map<String, Endpoint> endpoints = new HashMap<>(recordDuty.endpoints());
-        endpoints.putAll(new OperatorEndpoints(self.daemon(), healthDuty, status, drain).byPath());
+        RequestIdSource requestIds = new RequestIdSource(self.incarnation());
+        RequestHistory history = new RequestHistory(RequestHistory.STANDARD_ENTRIES);
+        endpoints.putAll(new OperatorEndpoints(
+                        self.daemon(), healthDuty, status, new RequestExplainer(requestIds, history), drain)
+                .byPath());
         DaemonParts parts = new DaemonParts(
                 registry,
                 gate,
@@ -135,6 +141,8 @@
                 Option.some(recordDuty),
                 healthDuty,
                 healthDuty,
+                requestIds,
+                history,
                 endpoints);
         links.bind(fleet.peerAddress().host(), fleet.peerAddress().port(), router);
         socket.bind(fleet.peerAddress().host(), fleet.peerAddress().port(), memberDuty);
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/OperatorEndpoints.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/OperatorEndpoints.java
@@ -1,5 +1,7 @@
 package org.heatherreach.daemon.fleet;
 
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -18,11 +20,13 @@
 final class OperatorEndpoints {
     private static final int ACCEPTED = 202;
     private static final int NOT_FOUND = 404;
+    private static final int GONE = 410;
 
     private final ObjectMapper mapper = new ObjectMapper();
     private final DaemonId daemon;
     private final HealthDuty healthDuty;
     private final FleetStatus status;
+    private final RequestExplainer requests;
     private final Runnable drain;
     private final AtomicBoolean draining = new AtomicBoolean();
 
@@ -31,10 +35,12 @@
      *
      * @param drain starts the planned stop of this process; called at most once
      */
-    OperatorEndpoints(DaemonId daemon, HealthDuty healthDuty, FleetStatus status, Runnable drain) {
+    OperatorEndpoints(
+            DaemonId daemon, HealthDuty healthDuty, FleetStatus status, RequestExplainer requests, Runnable drain) {
         this.daemon = Objects.requireNonNull(daemon, "daemon");
         this.healthDuty = Objects.requireNonNull(healthDuty, "healthDuty");
         this.status = Objects.requireNonNull(status, "status");
+        this.requests = Objects.requireNonNull(requests, "requests");
         this.drain = Objects.requireNonNull(drain, "drain");
     }
 
@@ -54,7 +60,13 @@
         return EndpointAnswer.json(200, answer + "\n");
     }
 
-    private EndpointAnswer explain(String id) {
+    private EndpointAnswer explain(String argument) {
+        String id;
+        try {
+            id = URLDecoder.decode(argument, StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException e) {
+            return error(NOT_FOUND, "not an id: " + e.getMessage());
+        }
         for (RefusalReason reason : RefusalReason.values()) {
             if (reason.label().equals(id)) {
                 ObjectNode answer = mapper.createObjectNode()
@@ -68,14 +80,30 @@
         List<ServerStatus> found = healthDuty.status().stream()
                 .filter(server -> server.server().equals(id))
                 .toList();
-        if (found.isEmpty()) {
-            return EndpointAnswer.json(NOT_FOUND, "{\"error\":\"neither a server nor a refusal reason\"}\n");
+        ArrayNode explained = requests.explain(id);
+        if (found.isEmpty() && explained.isEmpty()) {
+            return requests.hasDrawn(id)
+                    ? error(
+                            GONE,
+                            "the request is not among the last " + requests.capacity()
+                                    + " that ended here: it still runs or ended earlier")
+                    : error(
+                            NOT_FOUND,
+                            "neither a server, a refusal reason nor one of the last " + requests.capacity()
+                                    + " requests that ended here");
         }
         ObjectNode answer = mapper.createObjectNode().put("daemon", daemon.value());
+        if (!explained.isEmpty()) {
+            answer.set("requests", explained);
+        }
         found.forEach(server -> answer.withArray("servers").add(mapper.valueToTree(server)));
         return EndpointAnswer.json(200, answer + "\n");
     }
 
+    private EndpointAnswer error(int statusCode, String message) {
+        return EndpointAnswer.json(statusCode, mapper.createObjectNode().put("error", message) + "\n");
+    }
+
     private EndpointAnswer startDrain() {
         if (draining.compareAndSet(false, true)) {
             drain.run();
--- a/daemon/src/test/java/org/heatherreach/daemon/fleet/FleetProcessTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/fleet/FleetProcessTest.java
@@ -225,6 +225,9 @@
                 () -> fleet.everyDaemon(i -> fleet.members(i) == COUNT + 1 && fleet.tableVersion(i) == first));
         assertServed(List.of(0, 1, 2, late), 40);
         assertThat(fleet.look(0, "/routed/1?service_ms=5").reason()).isEqualTo("unknown-service");
+        String served = look(late, 300).requestId();
+        assertThat(fleet.tool("explain " + served)).isZero();
+        assertThat(fleet.toolOutput()).contains("daemon d" + late, "request: " + served, "outcome: backend");
         fleet.startStore();
         // Exit code 0: accepted and in force everywhere.
         assertThat(fleet.tool(change)).isZero();
--- a/daemon/src/test/java/org/heatherreach/daemon/fleet/ProcessFleet.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/fleet/ProcessFleet.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
@@ -73,7 +74,7 @@
     }
 
     /** The end of a request that a daemon was asked to run. */
-    record Answer(int daemon, Kind kind, String reason) {}
+    record Answer(int daemon, Kind kind, String reason, String requestId) {}
 
     /** A condition that may fail while a process does not answer yet. */
     interface Condition {
@@ -158,7 +159,10 @@
         String addresses =
                 String.join(",", ports.stream().map(port -> HOST + ':' + port).toList());
         Process tool = start(
-                "tool", ToolMain.class, arguments + " --store " + HOST + ':' + storePort + " --daemons " + addresses);
+                "tool",
+                ToolMain.class,
+                arguments,
+                Map.of("HEATHERREACH_STORE", HOST + ':' + storePort, "HEATHERREACH_DAEMONS", addresses));
         processes.add(tool);
         if (!tool.waitFor(AWAIT_SECONDS, TimeUnit.SECONDS)) {
             throw new AssertionError("the tool does not end: " + arguments);
@@ -166,6 +170,11 @@
         return tool.exitValue();
     }
 
+    /** Returns what the tool printed in all its runs. */
+    String toolOutput() throws IOException {
+        return Files.readString(directory.resolve("tool.log"));
+    }
+
     /** Returns the daemon that owns the only part of the service. */
     int owner() {
         RegionId region = new RegionId("default");
@@ -267,6 +276,7 @@
         String target = request.uri().getRawPath() + '?' + request.uri().getRawQuery();
         try {
             HttpResponse<byte[]> response = client.send(request, HttpResponse.BodyHandlers.ofByteArray());
+            String id = response.headers().firstValue("Heatherreach-Request-Id").orElse("");
             String reason = response.headers().firstValue("Heatherreach-Reason").orElse("");
             String outcome =
                     response.headers().firstValue("Heatherreach-Outcome").orElse("missing");
@@ -275,13 +285,13 @@
             boolean right = response.statusCode() == 200 && Arrays.equals(response.body(), expected);
             return switch (outcome) {
                 case "backend" ->
-                    new Answer(daemon, right ? Kind.RIGHT : Kind.WRONG, "status " + response.statusCode());
-                case "not-run" -> new Answer(daemon, Kind.NOT_RUN, reason);
-                case "unknown" -> new Answer(daemon, Kind.UNKNOWN, reason);
-                default -> new Answer(daemon, Kind.WRONG, "outcome " + outcome);
+                    new Answer(daemon, right ? Kind.RIGHT : Kind.WRONG, "status " + response.statusCode(), id);
+                case "not-run" -> new Answer(daemon, Kind.NOT_RUN, reason, id);
+                case "unknown" -> new Answer(daemon, Kind.UNKNOWN, reason, id);
+                default -> new Answer(daemon, Kind.WRONG, "outcome " + outcome, id);
             };
         } catch (IOException e) {
-            return new Answer(daemon, Kind.BROKEN, e.toString());
+            return new Answer(daemon, Kind.BROKEN, e.toString(), "");
         } catch (InterruptedException e) {
             throw new IllegalStateException(e);
         }
@@ -342,6 +352,11 @@
     }
 
     private Process start(String name, Class<?> mainClass, String arguments) throws IOException {
+        return start(name, mainClass, arguments, Map.of());
+    }
+
+    private Process start(String name, Class<?> mainClass, String arguments, Map<String, String> environment)
+            throws IOException {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx128m",
@@ -352,10 +367,11 @@
                 mainClass.getName()));
         command.addAll(List.of(arguments.split(" ")));
         Path log = directory.resolve(name + ".log");
-        return new ProcessBuilder(command)
+        ProcessBuilder builder = new ProcessBuilder(command)
                 .redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
-                .start();
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        builder.environment().putAll(environment);
+        return builder.start();
     }
 
     private static int freePort() {
--- a/daemon/src/test/java/org/heatherreach/daemon/fleet/RecordFleet.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/fleet/RecordFleet.java
@@ -53,6 +53,7 @@
 import org.heatherreach.transport.http.ProxyLimits;
 import org.heatherreach.transport.http.ProxyMode;
 import org.heatherreach.transport.http.ProxyParts;
+import org.heatherreach.transport.http.RequestHistory;
 import org.heatherreach.transport.http.ServiceCatalog;
 import org.heatherreach.transport.http.ServingGate;
 import org.heatherreach.transport.metric.RequestMeters;
@@ -247,7 +248,8 @@
                     (service, fingerprint) -> false,
                     new RequestMeters(registry),
                     incarnation,
-                    () -> new RequestId(index + "-" + requests.incrementAndGet()));
+                    () -> new RequestId(index + "-" + requests.incrementAndGet()),
+                    new RequestHistory(100));
             server = new CallerServer(
                     new InetSocketAddress("127.0.0.1", 0),
                     1,
--- a/tools/src/main/java/org/heatherreach/tools/ExplainCommand.java
+++ b/tools/src/main/java/org/heatherreach/tools/ExplainCommand.java
@@ -11,19 +11,24 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Option;
 
-/** Shows why a request was answered as it was, or why a server is in or out of use. */
+/**
+ * Shows what became of a request, why a server is in or out of use, or what a refusal reason means. An id that a daemon
+ * drew names that daemon, so only it is asked; every other id is asked from all daemons.
+ */
 @Parameters(commandDescription = "Explain what became of a request, or why a server is in or out of use")
 final class ExplainCommand extends ToolCommand {
+    private static final int FOUND = 200;
+
     @ParametersDelegate
     private final DaemonOptions daemons = new DaemonOptions();
 
-    @Parameter(description = "REQUEST-ID or SERVER-ID", required = true)
+    @Parameter(description = "REQUEST-ID, SERVER-ID or REASON", required = true)
     private String id;
 
     @Override
     List<String> examples() {
         return List.of(
-                "heatherreach explain r-7f3a-000012 (from Heatherreach-Request-Id)",
+                "heatherreach explain f12f0a7072a67286-1b3 (from Heatherreach-Request-Id)",
                 "heatherreach explain benchdesk-04 --format json");
     }
 
@@ -35,25 +40,60 @@
     private ExitCode show(ToolContext context, FleetClient fleet) {
         String path = "/heatherreach/explain/"
                 + URLEncoder.encode(id, StandardCharsets.UTF_8).replace("+", "%20");
+        List<DaemonStatus> known = fleet.report().daemons();
+        Option<DaemonStatus> named =
+                Option.ofOptional(known.stream().filter(this::isNamed).findFirst());
+        if (named.isDefined()) {
+            return showOne(context, named.get(), fleet.ask("GET", named.get().address(), path));
+        }
         List<String> lines = new ArrayList<>();
         List<JsonNode> found = new ArrayList<>();
         int silent = 0;
-        for (DaemonStatus status : fleet.report().daemons()) {
+        for (DaemonStatus status : known) {
             Option<FleetClient.Reply> reply = fleet.ask("GET", status.address(), path);
             if (reply.isEmpty()) {
                 silent++;
-            } else if (reply.get().status() == 200) {
-                lines.add("daemon " + status.daemon() + ":");
-                JsonText.format(reply.get().body()).forEach(line -> lines.add("  " + line));
+            } else if (reply.get().status() == FOUND) {
+                lines.addAll(describe(status, reply.get()));
                 found.add(reply.get().body());
             }
         }
         if (found.isEmpty()) {
             throw new ToolException(
                     silent > 0 ? ExitCode.UNAVAILABLE : ExitCode.NOT_FOUND,
-                    "no daemon that answers knows " + id + (silent > 0 ? "; " + silent + " do not answer" : ""));
+                    "no daemon that answers knows " + id
+                            + (silent > 0 ? "; " + silent + " do not answer" : "")
+                            + "; a daemon keeps its last requests only, and forgets them when its process ends");
         }
         context.print(lines, node -> ToolContext.addAll(node.putArray("explanations"), found));
         return ExitCode.DONE;
     }
+
+    /** Returns whether the id was drawn by this process of the daemon, which alone then has to be asked. */
+    private boolean isNamed(DaemonStatus status) {
+        return status.isReachable() && id.startsWith(status.incarnation() + "-");
+    }
+
+    private ExitCode showOne(ToolContext context, DaemonStatus status, Option<FleetClient.Reply> reply) {
+        String daemon = "daemon " + status.daemon() + " at " + status.address() + ", which took request " + id;
+        if (reply.isEmpty()) {
+            throw new ToolException(ExitCode.UNAVAILABLE, daemon + ", does not answer");
+        }
+        if (reply.get().status() != FOUND) {
+            throw new ToolException(
+                    ExitCode.NOT_FOUND,
+                    daemon + ", answers: " + reply.get().body().path("error").asText("no explanation"));
+        }
+        context.print(
+                describe(status, reply.get()),
+                node -> node.putArray("explanations").add(reply.get().body()));
+        return ExitCode.DONE;
+    }
+
+    private static List<String> describe(DaemonStatus status, FleetClient.Reply reply) {
+        List<String> lines = new ArrayList<>();
+        lines.add("daemon " + status.daemon() + ":");
+        JsonText.format(reply.body()).forEach(line -> lines.add("  " + line));
+        return lines;
+    }
 }
--- a/tools/src/test/java/org/heatherreach/tools/FakeDaemon.java
+++ b/tools/src/test/java/org/heatherreach/tools/FakeDaemon.java
@@ -15,6 +15,7 @@
     private volatile long version;
     private volatile List<FakeDaemon> members = List.of();
     private volatile String state = "alive";
+    private volatile int explained;
 
     FakeDaemon(String id) {
         this.id = id;
@@ -27,9 +28,12 @@
                                 "/heatherreach/servers",
                                 (request, response) -> response.sendString(Mono.just("{\"servers\":[{\"server\":\"s1\","
                                         + "\"state\":\"ejected\"},{\"server\":\"s2\",\"state\":\"in-use\"}]}")))
-                        .get(
-                                "/heatherreach/explain/r-1",
-                                (request, response) -> response.sendString(Mono.just("{\"reason\":\"queue-full\"}")))
+                        .get("/heatherreach/explain/{id}", (request, response) -> {
+                            explained++;
+                            return request.param("id").endsWith("-1")
+                                    ? response.sendString(Mono.just("{\"reason\":\"queue-full\"}"))
+                                    : response.status(410).sendString(Mono.just("{\"error\":\"ended earlier\"}"));
+                        })
                         .post("/heatherreach/drain", (request, response) -> {
                             state = "leaving";
                             return response.send();
@@ -41,6 +45,11 @@
         return "127.0.0.1:" + server.port();
     }
 
+    /** Returns how often it was asked for an explanation. */
+    int explained() {
+        return explained;
+    }
+
     void setVersion(long newVersion) {
         version = newVersion;
     }
@@ -57,7 +66,7 @@
                             + member.server.port() + ",\"peerPort\":" + PEER_PORT + ",\"state\":\"" + member.state
                             + "\",\"tableVersion\":" + member.version + "}");
         }
-        return "{\"daemon\":\"" + id + "\",\"incarnation\":\"1\",\"zone\":\"a\",\"tableVersion\":" + version
+        return "{\"daemon\":\"" + id + "\",\"incarnation\":\"" + id + "e\",\"zone\":\"a\",\"tableVersion\":" + version
                 + ",\"state\":\"" + state + "\",\"members\":[" + text + "]}";
     }
 
--- a/tools/src/test/java/org/heatherreach/tools/ToolTest.java
+++ b/tools/src/test/java/org/heatherreach/tools/ToolTest.java
@@ -173,6 +173,24 @@
         }
     }
 
+    // Guards against a fleet of daemons that is asked for a request that one of them took, and against an answer of
+    // another daemon that hides that the request is too old or its daemon silent.
+    @Example
+    void asksOnlyTheDaemonThatARequestIdNames() {
+        try (FakeDaemon first = new FakeDaemon("d1");
+                FakeDaemon second = new FakeDaemon("d2")) {
+            environment.put("HEATHERREACH_DAEMONS", first.address() + "," + second.address());
+            assertThat(run("explain", "d2e-1")).isZero();
+            assertThat(output).contains("daemon d2:", "reason: queue-full");
+            assertThat(run("explain", "d2e-2", "--format", "json")).isEqualTo(ExitCode.NOT_FOUND.code());
+            assertThat(output).contains("which took request d2e-2", "ended earlier", "\"exitCode\" : 7");
+            assertThat(first.explained()).isZero();
+            assertThat(run("explain", "d9e-2")).isEqualTo(ExitCode.NOT_FOUND.code());
+            assertThat(first.explained()).isEqualTo(1);
+            assertThat(second.explained()).isEqualTo(3);
+        }
+    }
+
     private String file(String name) {
         return directory.resolve(name).toString();
     }
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -29,6 +29,7 @@
 import org.jboss.logging.Logger;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.SignalType;
 import reactor.core.publisher.Sinks;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.server.HttpServerRequest;
@@ -69,6 +70,7 @@
     private final HttpServerResponse outbound;
     private final Channel channel;
     private final CallerGuard guard;
+    private final RequestTrace trace;
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.READING);
     private final Sinks.One<Answer> interruption = Sinks.one();
     private final Set<ServerId> tried = new HashSet<>();
@@ -84,6 +86,7 @@
     private volatile BackendAttempt attempt;
     private volatile long queuedTicket;
     private volatile boolean callerGone;
+    private volatile boolean callerReset;
     private volatile boolean executed;
     private volatile long progressNanos;
     private ScheduledFuture<?> deadlineTimer;
@@ -106,6 +109,7 @@
         this.outbound = Objects.requireNonNull(outbound, "outbound");
         this.channel = Objects.requireNonNull(channel, "channel");
         this.guard = channel.pipeline().get(CallerGuard.class);
+        this.trace = new RequestTrace(parts.history(), request);
         this.keyUndecided = request.key().isDefined();
     }
 
@@ -126,7 +130,10 @@
                 })))
                 .flatMap(this::deliver)
                 .doOnCancel(this::callerLeft)
-                .doFinally(signal -> release());
+                .doFinally(signal -> {
+                    release();
+                    trace.end(ending(signal), System.nanoTime());
+                });
     }
 
     /** Returns the result of work that goes on if nobody waits for the result any more. */
@@ -264,13 +271,17 @@
         if (request.parameters().forwardedBy().isDefined() || !enter(Phase.RUNNING)) {
             return refuse(RefusalReason.EXECUTOR_UNREACHABLE, 0);
         }
+        long nowNanos = System.nanoTime();
+        String executor =
+                decision.executor().getHostString() + ':' + decision.executor().getPort();
+        int attemptNumber = trace.begin("executor@" + executor, nowNanos);
         attempt = new BackendAttempt(
                 request,
                 body,
                 parts.limits(),
                 parts.incarnation().toString(),
-                System.nanoTime(),
-                result -> {},
+                nowNanos,
+                result -> trace.complete(attemptNumber, result),
                 this::stream);
         return attempt.run(clients.client(decision.executor(), parts.limits().connections()))
                 .flatMap(this::claim)
@@ -353,6 +364,7 @@
             return Mono.never();
         }
         long nowNanos = System.nanoTime();
+        int attemptNumber = trace.begin(server.id().value(), nowNanos);
         parts.observer().dispatched(request.service(), server.id(), fingerprint, nowNanos);
         BackendAttempt current = new BackendAttempt(
                 request,
@@ -368,6 +380,7 @@
 
                     @Override
                     public void end(ExchangeResult result) {
+                        trace.complete(attemptNumber, result);
                         parts.scheduler().complete(ticket, result);
                         parts.observer().ended(request.service(), server.id(), fingerprint, result, System.nanoTime());
                     }
@@ -571,6 +584,7 @@
         }
         if (answer instanceof Answer.Refusal refusal) {
             parts.meters().countRefusal(refusal.reason());
+            trace.answer(refusal.outcome().label(), refusal.reason().label());
             count(refusal.outcome());
             return Mono.from(RefusalWriter.write(outbound, refusal, request.requestId(), isClosing()));
         }
@@ -600,6 +614,7 @@
             headers.set(CallHeaders.OUTCOME, outcome);
         }
         headers.set(CallHeaders.REQUEST_ID, request.requestId().toString());
+        trace.answer(headers.get(CallHeaders.OUTCOME), headers.get(CallHeaders.REASON));
         if (isClosing()) {
             outbound.keepAlive(false);
         }
@@ -691,6 +706,18 @@
         }
     }
 
+    private RequestEnding ending(SignalType signal) {
+        if (callerReset) {
+            return RequestEnding.RESET;
+        }
+        return switch (signal) {
+            case ON_COMPLETE -> RequestEnding.ANSWERED;
+            // A broken relay that the HTTP server noticed first has already closed the caller's connection.
+            case ON_ERROR -> callerGone ? RequestEnding.CALLER_LEFT : RequestEnding.RESET;
+            default -> RequestEnding.CALLER_LEFT;
+        };
+    }
+
     private void watchStall() {
         long limitNanos = TimeUnit.MILLISECONDS.toNanos(parts.limits().stallTimeoutMillis());
         long idleNanos = System.nanoTime() - progressNanos;
@@ -707,6 +734,7 @@
     /** Resets the caller's connection, so that no client takes the part that was relayed for the whole response. */
     private void resetCaller() {
         if (channel.isActive()) {
+            callerReset = true;
             parts.meters().countCallerReset();
             guard.closeWithoutLinger();
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerGuard.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerGuard.java
@@ -40,6 +40,7 @@
     private final ProxyLimits limits;
     private final RequestMeters meters;
     private final Supplier<RequestId> requestIds;
+    private final RequestHistory history;
     private final MessageScanner scanner;
     private ChannelHandlerContext context;
     private int outstanding;
@@ -55,10 +56,11 @@
     private boolean readWanted;
     private long lastBodyNanos;
 
-    CallerGuard(ProxyLimits limits, RequestMeters meters, Supplier<RequestId> requestIds) {
+    CallerGuard(ProxyLimits limits, RequestMeters meters, Supplier<RequestId> requestIds, RequestHistory history) {
         this.limits = Objects.requireNonNull(limits, "limits");
         this.meters = Objects.requireNonNull(meters, "meters");
         this.requestIds = Objects.requireNonNull(requestIds, "requestIds");
+        this.history = Objects.requireNonNull(history, "history");
         this.scanner = MessageScanner.forRequests(limits.headBytes());
     }
 
@@ -277,10 +279,12 @@
 
     private void refuse() {
         meters.countRefusal(pendingRefusal);
+        RequestId requestId = requestIds.get();
+        history.add(EndedRequest.refusedAtOnce(requestId, pendingRefusal.outcome(), pendingRefusal));
         String answer = "HTTP/1.1 " + pendingRefusal.statusCode() + " Refused\r\n"
                 + CallHeaders.OUTCOME + ": " + pendingRefusal.outcome().label() + "\r\n"
                 + CallHeaders.REASON + ": " + pendingRefusal.label() + "\r\n"
-                + CallHeaders.REQUEST_ID + ": " + requestIds.get() + "\r\n"
+                + CallHeaders.REQUEST_ID + ": " + requestId + "\r\n"
                 + "Content-Length: 0\r\nConnection: close\r\n\r\n";
         context.writeAndFlush(Unpooled.copiedBuffer(answer, StandardCharsets.US_ASCII))
                 .addListener(future -> lingeringClose());
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerServer.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerServer.java
@@ -67,7 +67,7 @@
                         channel.close();
                         return;
                     }
-                    CallerGuard guard = new CallerGuard(limits, meters, parts.requestIds());
+                    CallerGuard guard = new CallerGuard(limits, meters, parts.requestIds(), parts.history());
                     channel.pipeline().addFirst(CallerGuard.NAME, guard);
                     channel.pipeline().addAfter(NettyPipeline.HttpCodec, CallerGuard.TRACKER_NAME, guard.tracker());
                 })
--- a/transport/src/main/java/org/heatherreach/transport/http/ProxyHandler.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/ProxyHandler.java
@@ -129,6 +129,7 @@
         RequestId requestId = CallParameters.requestId(headers::getAll).getOrElse(parts.requestIds());
         boolean keyed = headers.contains(CallHeaders.KEY);
         Answer.Refusal refusal = new Answer.Refusal(reason, keyed ? Answer.outcomeOfKey(reason) : reason.outcome(), 0);
+        parts.history().add(EndedRequest.refusedAtOnce(requestId, refusal.outcome(), reason));
         boolean closing = parts.gate().isDraining() || guard.isClosing() || reason == RefusalReason.SHUTTING_DOWN;
         return Mono.from(RefusalWriter.write(response, refusal, requestId, closing));
     }
--- a/transport/src/main/java/org/heatherreach/transport/http/ProxyParts.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/ProxyParts.java
@@ -22,6 +22,7 @@
  * @param meters the counters
  * @param incarnation the incarnation of this daemon
  * @param requestIds draws a new request id
+ * @param history keeps the last requests that ended
  */
 public record ProxyParts(
         ProxyMode mode,
@@ -34,7 +35,8 @@
         CrashFilter crashFilter,
         RequestMeters meters,
         IncarnationId incarnation,
-        Supplier<RequestId> requestIds) {
+        Supplier<RequestId> requestIds,
+        RequestHistory history) {
     /** Creates the parts. */
     public ProxyParts {
         Objects.requireNonNull(mode, "mode");
@@ -48,5 +50,6 @@
         Objects.requireNonNull(meters, "meters");
         Objects.requireNonNull(incarnation, "incarnation");
         Objects.requireNonNull(requestIds, "requestIds");
+        Objects.requireNonNull(history, "history");
     }
 }
--- /dev/null
+++ b/transport/src/main/java/org/heatherreach/transport/http/RequestTrace.java
@@ -0,0 +1,59 @@
+package org.heatherreach.transport.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+
+import io.vavr.control.Option;
+
+/**
+ * Collects what becomes of one request and adds it to the history when the caller's side ends. Exchanges end on the event
+ * loops of their connections, so it is safe for use by any thread.
+ */
+final class RequestTrace {
+    private final RequestHistory history;
+    private final CallerRequest request;
+    private final List<ServerAttempt> attempts = new ArrayList<>(1);
+    private String outcome = "";
+    private String reason = "";
+
+    RequestTrace(RequestHistory history, CallerRequest request) {
+        this.history = Objects.requireNonNull(history, "history");
+        this.request = Objects.requireNonNull(request, "request");
+    }
+
+    /** Notes the begin of an exchange and returns its number. */
+    synchronized int begin(String server, long nowNanos) {
+        attempts.add(new ServerAttempt(server, nowNanos - request.arrivalNanos(), Option.none()));
+        return attempts.size() - 1;
+    }
+
+    /** Notes how an exchange ended. */
+    synchronized void complete(int number, ExchangeResult result) {
+        ServerAttempt begun = attempts.get(number);
+        attempts.set(number, new ServerAttempt(begun.server(), begun.waitNanos(), Option.some(result)));
+    }
+
+    /** Notes what the caller is told. */
+    synchronized void answer(String toldOutcome, String toldReason) {
+        outcome = toldOutcome == null ? "" : toldOutcome;
+        reason = toldReason == null ? "" : toldReason;
+    }
+
+    /** Adds the request to the history. */
+    synchronized void end(RequestEnding ending, long nowNanos) {
+        long durationNanos = nowNanos - request.arrivalNanos();
+        history.add(new EndedRequest(
+                request.requestId(),
+                request.service().value(),
+                request.parameters().rank().label(),
+                request.parameters().workspace().map(id -> id.value()).getOrElse(""),
+                System.currentTimeMillis() - TimeUnit.NANOSECONDS.toMillis(durationNanos),
+                durationNanos,
+                ending,
+                outcome,
+                reason,
+                attempts));
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/heatherreach/transport/http/ServerAttempt.java
@@ -0,0 +1,21 @@
+package org.heatherreach.transport.http;
+
+import java.util.Objects;
+
+import io.vavr.control.Option;
+
+/**
+ * One exchange of a request with a server, or with the daemon that executes its key. Immutable and safe for use by any
+ * thread.
+ *
+ * @param server the server, or {@code executor@HOST:PORT}
+ * @param waitNanos the time from the arrival of the request to this exchange
+ * @param result how the exchange ended; empty if it was under way when the caller's side ended
+ */
+public record ServerAttempt(String server, long waitNanos, Option<ExchangeResult> result) {
+    /** Creates an attempt. */
+    public ServerAttempt {
+        Objects.requireNonNull(server, "server");
+        Objects.requireNonNull(result, "result");
+    }
+}
--- a/transport/src/test/java/org/heatherreach/transport/http/ProxyFixture.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/ProxyFixture.java
@@ -78,7 +78,8 @@
                 (service, fingerprint) -> false,
                 meters,
                 new IncarnationId(0xabc),
-                () -> new RequestId("r" + sequence.incrementAndGet())));
+                () -> new RequestId("r" + sequence.incrementAndGet()),
+                new RequestHistory(100)));
         scheduler = parts.scheduler();
         scheduler.changeServers(SERVICE, servers);
         server = new CallerServer(new InetSocketAddress("127.0.0.1", 0), 2, parts, Map.of());
@@ -102,7 +103,8 @@
                 parts.crashFilter(),
                 parts.meters(),
                 parts.incarnation(),
-                parts.requestIds());
+                parts.requestIds(),
+                parts.history());
     }
 
     static ProxyParts withKeyed(ProxyParts parts, KeyedExecution keyed) {
@@ -117,7 +119,8 @@
                 parts.crashFilter(),
                 parts.meters(),
                 parts.incarnation(),
-                parts.requestIds());
+                parts.requestIds(),
+                parts.history());
     }
 
     static ProxyParts withObserver(ProxyParts parts, ExchangeObserver observer, CrashFilter filter) {
@@ -132,7 +135,8 @@
                 filter,
                 parts.meters(),
                 parts.incarnation(),
-                parts.requestIds());
+                parts.requestIds(),
+                parts.history());
     }
 
     int port() {
