Count a reset that the HTTP server carried out first

Cause: when a relayed stream breaks, CallerExchange resets the caller's connection and counts it, but only while the connection is active. The HTTP server can notice the failed write first and close the connection itself; then the reset was not counted, as seen once under heavy load ("1 instead of 2" in resetsTheCallerWhenAStreamBreaksOrStalls).

Change: a failure of the server counts as a reset also if the connection is closed already, once per exchange. A caller that left itself still counts as a disconnect only: its failure is of the kind CANCELLED.

Conclusion: the counter no longer depends on who closes first.

--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -130,7 +130,7 @@
         // A request with a key goes on when its caller leaves, so that a repetition finds the response.
         Mono<Answer> answer = request.key().isDefined() ? DetachedMono.of(work) : work;
         return answer.onErrorResume(error -> onLoop(Mono.defer(() -> {
-                    resetCaller();
+                    breakOff(error);
                     return Mono.<Answer>error(error);
                 })))
                 .flatMap(this::deliver)
@@ -702,11 +702,26 @@
         resetCaller();
     }
 
+    /** Ends the caller's connection after a failure; the HTTP server may have noticed it first and closed it already. */
+    private void breakOff(Throwable error) {
+        boolean serverFailed = error instanceof BackendFailure failure && failure.kind() != FailureKind.CANCELLED;
+        if (serverFailed && !channel.isActive()) {
+            countReset();
+        }
+        resetCaller();
+    }
+
+    private void countReset() {
+        if (!callerReset) {
+            callerReset = true;
+            parts.meters().countCallerReset();
+        }
+    }
+
     /** Resets the caller's connection, so that no client takes the part that was relayed for the whole response. */
     private void resetCaller() {
         if (channel.isActive()) {
-            callerReset = true;
-            parts.meters().countCallerReset();
+            countReset();
             guard.closeWithoutLinger();
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
             channel.close();
