Use one retry budget in the request path and in the slot pool

Cause: two classes bounded retries to a share of the requests of the last 10 s.

Change: coordination.rank.RetryBudget, which rounds down and is safe for use by any thread, serves both. The property of the pool's budget now demands the share rounded down instead of up. retryUsesAnotherServerWithinTheBudget makes ten requests before its retry instead of five, because five requests allow none; it still demands that the second retry is refused.

--- a/coordination/src/main/java/org/heatherreach/coordination/rank/RetryBudget.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/rank/RetryBudget.java
@@ -1,69 +1,58 @@
 package org.heatherreach.coordination.rank;
 
 import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
 
 /**
- * Bounds the retries of a service to a share of its requests of the last 10 s, rounded up to a whole retry.
- * Confined to one thread.
+ * Bounds the retries of one service to a share of its requests of the last 10 s.
+ * Invariant: at every instant the retries of the window are at most the share, rounded down, of the requests of the
+ * window when the last of them was taken. Safe for use by any thread.
  */
 public final class RetryBudget {
-    private static final long SECOND_NANOS = 1_000_000_000L;
-    private static final int SECONDS = 10;
+    private static final int BUCKETS = 10;
+    private static final long BUCKET_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    private final int[] requests = new int[SECONDS];
-    private final int[] retries = new int[SECONDS];
-    private final long startNanos;
-    private int percent;
-    private long second;
-    private int requestSum;
-    private int retrySum;
+    private final long[] requests = new long[BUCKETS];
+    private final long[] retries = new long[BUCKETS];
+    private long currentBucket;
 
-    /** Creates a budget with the given share. */
-    public RetryBudget(int percent, long nowNanos) {
-        this.percent = percent;
-        this.startNanos = nowNanos;
+    /** Creates an empty budget whose window starts now. */
+    public RetryBudget(long nowNanos) {
+        this.currentBucket = bucketOf(nowNanos);
     }
 
-    /** Sets the share. */
-    public void setPercent(int newPercent) {
-        percent = newPercent;
-    }
-
-    /** Counts a new request. */
-    public void recordRequest(long nowNanos) {
+    /** Counts a request of a caller. */
+    public synchronized void countRequest(long nowNanos) {
         advance(nowNanos);
-        requests[(int) (second % SECONDS)]++;
-        requestSum++;
+        requests[index(currentBucket)]++;
     }
 
-    /** Takes one retry from the budget; returns false if it is used up. */
-    public boolean tryRetry(long nowNanos) {
+    /** Takes one retry out of the budget; returns whether there was one left. */
+    public synchronized boolean take(long nowNanos, int percent) {
         advance(nowNanos);
-        if ((long) retrySum * 100 >= (long) requestSum * percent) {
+        long used = Arrays.stream(retries).sum();
+        if ((used + 1) * 100 > percent * Arrays.stream(requests).sum()) {
             return false;
         }
-        retries[(int) (second % SECONDS)]++;
-        retrySum++;
+        retries[index(currentBucket)]++;
         return true;
     }
 
     private void advance(long nowNanos) {
-        long current = (nowNanos - startNanos) / SECOND_NANOS;
-        if (current - second >= SECONDS) {
-            Arrays.fill(requests, 0);
-            Arrays.fill(retries, 0);
-            requestSum = 0;
-            retrySum = 0;
-            second = current;
-            return;
-        }
-        while (second < current) {
-            second++;
-            int index = (int) (second % SECONDS);
-            requestSum -= requests[index];
-            retrySum -= retries[index];
-            requests[index] = 0;
-            retries[index] = 0;
+        long bucket = bucketOf(nowNanos);
+        // Callers read the clock before they take the lock, so a time may lie slightly behind the newest one.
+        for (long next = Math.max(currentBucket + 1, bucket - BUCKETS + 1); next <= bucket; next++) {
+            requests[index(next)] = 0;
+            retries[index(next)] = 0;
         }
+        currentBucket = Math.max(currentBucket, bucket);
+    }
+
+    private static long bucketOf(long nowNanos) {
+        return Math.floorDiv(nowNanos, BUCKET_NANOS);
+    }
+
+    private static int index(long bucket) {
+        return (int) Math.floorMod(bucket, (long) BUCKETS);
     }
 }
--- a/coordination/src/main/java/org/heatherreach/coordination/slot/LeasedSlotPool.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/LeasedSlotPool.java
@@ -106,7 +106,7 @@
         this.workspaceLimit = Objects.requireNonNull(workspaceLimit, "workspaceLimit");
         this.random = Objects.requireNonNull(random, "random");
         this.hint = new RetryHint(random);
-        this.budget = new RetryBudget(limits.retryPercent(), nowNanos);
+        this.budget = new RetryBudget(nowNanos);
         for (Rank rank : RANKS) {
             queues.add(new DeadlineQueue<>());
             waits.add(new WaitEstimator());
@@ -133,7 +133,7 @@
         wake(nowNanos);
         advanceRates(nowNanos);
         rates[rank] += 1e9 / RATE_NANOS;
-        budget.recordRequest(nowNanos);
+        budget.countRequest(nowNanos);
         if (usable.isEmpty()) {
             return refuse(request.id(), RefusalReason.NO_SERVER, hint.drawMillis(0));
         }
@@ -224,7 +224,9 @@
         for (Server server : usable) {
             untriedLeft |= !entry.tried.contains(server.id);
         }
-        if (!untriedLeft || entry.request.deadlineNanos() - nowNanos <= 0 || !budget.tryRetry(nowNanos)) {
+        if (!untriedLeft
+                || entry.request.deadlineNanos() - nowNanos <= 0
+                || !budget.take(nowNanos, limits.retryPercent())) {
             forget(entry);
             actions.add(new SlotAction.Refuse(request, refusalOf(reason), hint.drawMillis((long) serviceNanos)));
         } else {
@@ -360,7 +362,6 @@
     public List<SlotAction> onLimits(ServiceLimits newLimits, Map<Rank, RankLimits> newRankLimits, long nowNanos) {
         limits = Objects.requireNonNull(newLimits, "newLimits");
         rankLimits = checkRanks(newRankLimits);
-        budget.setPercent(limits.retryPercent());
         updateSlots();
         List<SlotAction> actions = new ArrayList<>();
         drain(nowNanos, actions);
--- a/coordination/src/test/java/org/heatherreach/coordination/rank/RankRulesTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/rank/RankRulesTest.java
@@ -64,20 +64,20 @@
     @Property(seed = "4202", tries = 200)
     void retriesStayWithinTheBudget(@ForAll long seed, @ForAll @IntRange(max = 100) int percent) {
         Random random = new Random(seed);
-        RetryBudget budget = new RetryBudget(percent, 0);
+        RetryBudget budget = new RetryBudget(0);
         int requests = 0;
         int retries = 0;
         for (int i = 0; i < 500; i++) {
             long nowNanos = i * SECOND / 100;
             if (random.nextInt(3) > 0) {
-                budget.recordRequest(nowNanos);
+                budget.countRequest(nowNanos);
                 requests++;
-            } else if (budget.tryRetry(nowNanos)) {
+            } else if (budget.take(nowNanos, percent)) {
                 retries++;
             }
-            assertThat(retries).isLessThanOrEqualTo((requests * percent + 99) / 100);
+            assertThat(retries).isLessThanOrEqualTo(requests * percent / 100);
         }
-        assertThat(budget.tryRetry(60 * SECOND)).isFalse();
+        assertThat(budget.take(60 * SECOND, percent)).isFalse();
     }
 
     // Guards against callers that come back together after one refusal.
--- a/transport/src/test/java/org/heatherreach/transport/http/RetryBudgetProperties.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/rank/RetryBudgetProperties.java
@@ -1,4 +1,4 @@
-package org.heatherreach.transport.http;
+package org.heatherreach.coordination.rank;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
--- a/coordination/src/test/java/org/heatherreach/coordination/slot/SlotFleetTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/slot/SlotFleetTest.java
@@ -290,6 +290,10 @@
     @Example
     void retryUsesAnotherServerWithinTheBudget() {
         SlotFleet fleet = warmFleet();
+        // With the four of the warm fleet and the one below these are ten requests, whose 10 % is one retry.
+        for (int i = 0; i < 5; i++) {
+            fleet.complete(fleet.submit(0, Rank.URGENT, 5_000));
+        }
         RequestId id = fleet.submit(0, Rank.URGENT, 5_000);
         ServerId first = fleet.running.get(id).server();
         fleet.retry(id, RetryReason.SERVER_SHED);
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import net.openhft.hashing.LongHashFunction;
+import org.heatherreach.coordination.rank.RetryBudget;
 import org.heatherreach.protocol.http.CallHeaders;
 import org.heatherreach.state.id.ServerId;
 import org.heatherreach.state.outcome.Outcome;
--- a/transport/src/main/java/org/heatherreach/transport/http/RetryBudgets.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/RetryBudgets.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
+import org.heatherreach.coordination.rank.RetryBudget;
 import org.heatherreach.state.id.ServiceId;
 
 /** The retry budgets of all services. Safe for use by any thread. */
