Refuse connections of callers from the limit on

Cause: the limit was compared with the channel group, which a channel joins only after the check, so a daemon accepted one connection more than `connections` allows, and more if several arrived at once. No test covered the limit.

Change: CallerServer counts open connections itself, and counts refused ones in heatherreach.caller.connections.refused.

--- a/transport/src/main/java/org/heatherreach/transport/http/CallerServer.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerServer.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.channel.ChannelOption;
 import io.netty.channel.group.ChannelGroup;
@@ -31,6 +32,7 @@
     private final LoopResources loops;
     private final BackendClients clients;
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final AtomicInteger openConnections = new AtomicInteger();
     private final DisposableServer server;
 
     /**
@@ -63,10 +65,14 @@
                         .allowDuplicateContentLengths(false)
                         .validateHeaders(true))
                 .doOnChannelInit((observer, channel, remote) -> {
-                    if (channels.size() > limits.connections()) {
+                    // The channel group is no measure, because a channel joins it only after this step.
+                    if (openConnections.incrementAndGet() > limits.connections()) {
+                        openConnections.decrementAndGet();
+                        meters.countRefusedConnection();
                         channel.close();
                         return;
                     }
+                    channel.closeFuture().addListener(future -> openConnections.decrementAndGet());
                     CallerGuard guard = new CallerGuard(limits, meters, parts.requestIds(), parts.history());
                     channel.pipeline().addFirst(CallerGuard.NAME, guard);
                     channel.pipeline().addAfter(NettyPipeline.HttpCodec, CallerGuard.TRACKER_NAME, guard.tracker());
--- a/transport/src/main/java/org/heatherreach/transport/metric/RequestMeters.java
+++ b/transport/src/main/java/org/heatherreach/transport/metric/RequestMeters.java
@@ -28,6 +28,7 @@
     private final Counter retriesWithoutBudget;
     private final Counter callerResets;
     private final Counter callerDisconnects;
+    private final Counter refusedConnections;
     private final Counter doubtfulConnections;
     private final Counter replays;
     private final AtomicInteger inFlight;
@@ -58,6 +59,7 @@
         retriesWithoutBudget = registry.counter("heatherreach.retries.over.budget");
         callerResets = registry.counter("heatherreach.caller.resets");
         callerDisconnects = registry.counter("heatherreach.caller.disconnects");
+        refusedConnections = registry.counter("heatherreach.caller.connections.refused");
         doubtfulConnections = registry.counter("heatherreach.backend.doubtful.connections");
         replays = registry.counter("heatherreach.replays");
         inFlight = registry.gauge("heatherreach.requests.in.flight", new AtomicInteger());
@@ -114,6 +116,11 @@
         callerDisconnects.increment();
     }
 
+    /** Counts a caller's connection that was closed at once, because as many as allowed were open. */
+    public void countRefusedConnection() {
+        refusedConnections.increment();
+    }
+
     /** Counts a connection to a server that was closed because its state was in doubt. */
     public void countDoubtfulConnection() {
         doubtfulConnections.increment();
