Check the JSON form of the log in the process test

Cause: the fault matrix listed the JSON log form as without a test.

Change: after a planned stop FleetProcessTest requires that each line in the daemon's log is a JSON document with time, level, logger and message, and that the last step of the stop is logged.

--- a/daemon/src/test/java/org/heatherreach/daemon/fleet/FleetProcessTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/fleet/FleetProcessTest.java
@@ -1,5 +1,6 @@
 package org.heatherreach.daemon.fleet;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
@@ -161,7 +162,9 @@
         assertThat(fleet.runs(key)).isEqualTo(1);
     }
 
-    // Guards against a planned stop that cuts off or refuses what callers sent before they could know of it.
+    // Guards against a planned stop that cuts off or refuses what callers sent before they could know of it, and
+    // against
+    // log lines that are no JSON documents or lose their time, level, logger or message.
     private void stoppedDaemonFinishesEveryRequest() throws Exception {
         int leaving = fleet.owner();
         List<Integer> others = othersThan(leaving);
@@ -190,6 +193,14 @@
         assertThat(running.get().kind()).as(running.get().toString()).isEqualTo(Kind.RIGHT);
         fleet.await("the process ends", () -> !fleet.daemon(leaving).isAlive());
         assertThat(fleet.daemon(leaving).exitValue()).isZero();
+        // JSON is the form of the log that the settings leave as it is.
+        assertThat(fleet.log(leaving)).allSatisfy(entry -> {
+            assertThat(Instant.parse(entry.get("timestamp").asText())).isAfter(Instant.EPOCH);
+            assertThat(List.of("level", "loggerName", "message")).allMatch(entry::hasNonNull);
+        });
+        assertThat(fleet.log(leaving))
+                .extracting(entry -> entry.get("message").asText())
+                .contains("Daemon d" + leaving + " has stopped");
         fleet.await("the others know", () -> knowOnlyThemselves(others));
         assertServed(others, 20);
     }
--- a/daemon/src/test/java/org/heatherreach/daemon/fleet/ProcessFleet.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/fleet/ProcessFleet.java
@@ -170,6 +170,15 @@
         return tool.exitValue();
     }
 
+    /** Returns what a daemon logged, a document each line; fails on a line that is none. */
+    List<JsonNode> log(int daemon) throws IOException {
+        List<JsonNode> documents = new ArrayList<>();
+        for (String line : Files.readAllLines(directory.resolve("d" + daemon + ".log"))) {
+            documents.add(JSON.readTree(line));
+        }
+        return documents;
+    }
+
     /** Returns what the tool printed in all its runs. */
     String toolOutput() throws IOException {
         return Files.readString(directory.resolve("tool.log"));
