State which outcome the history of requests keeps

Cause: the comment said that the outcome is empty if the connection ended before, but a response that was cut off after its head keeps the outcome of that head, with the ending "reset" or "caller-left".

Change: the comment names the head of the answer.

Conclusion: the comment agrees with RequestTrace.

--- a/transport/src/main/java/org/heatherreach/transport/http/EndedRequest.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/EndedRequest.java
@@ -18,7 +18,7 @@
  * @param arrivalEpochMillis when the request arrived
  * @param durationNanos the time from its arrival to its end
  * @param ending how it ended on the caller's side
- * @param outcome the outcome that the caller was told; empty if its connection ended before
+ * @param outcome the outcome in the head of the answer; empty if none was sent
  * @param reason the reason of a refusal
  * @param attempts the exchanges with servers, in order
  */
