Isolate a daemon that is behind 7 s after its last confirmation

Cause: a daemon whose sends are cut still hears beacons, so it is never silent. It is isolated because it hears of a larger version that it can't fetch, 7 s after it first heard of it; hearing takes 1 to 3 s at 440 and 880 members. Beacons with the larger version also renewed its confirmation that the store is current, although they say nothing of its own version.

Change: only beacons of versions that a daemon holds renew its confirmation, which is then older than any change that it lacks. It is isolated 7 s after that, and no sooner than 3 s after it heard of the change, so that a fetch through other peers comes first. Nothing changes for a store outage: daemons of the newest version are not isolated.

--- a/coordination/src/main/java/org/heatherreach/coordination/table/TableSpread.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/table/TableSpread.java
@@ -26,7 +26,8 @@
  * a daemon that can't apply it, or that hears a larger version in a member packet, fetches what it lacks from that
  * peer. Each adoption is reported to the readers, which ask members that have not reported.
  *
- * <p>Invariants: the version only grows; a content is adopted only with the version that the store gave it; while
+ * <p>Invariants: the version only grows; a content is adopted only with the version that the store gave it; at
+ * the instant of the last confirmation the store held no larger version than this daemon; while
  * isolated, this daemon has no proof that its table is current. Confined to one thread.
  */
 public final class TableSpread implements TableDistribution {
@@ -41,6 +42,9 @@
     private static final int PUSH_LIMIT_BYTES = 4_096;
 
     private static final int AHEAD_LIMIT = 8;
+    /** With the 2 to 3 s until the news of a version arrives this stays under {@link #ISOLATION_NANOS}. */
+    private static final long FETCH_GRACE_NANOS = TimeUnit.SECONDS.toNanos(3);
+
     private static final long FETCH_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     /** A daemon knows few members when it starts; the delay keeps it from acting as a reader until it knows more. */
@@ -144,7 +148,10 @@
     public List<TableAction> hear(Member from, TableBeacon beacon, long nowNanos) {
         List<TableAction> actions = new ArrayList<>(1);
         heard(nowNanos, actions);
-        mergeConfirmation(beacon, nowNanos);
+        if (beacon.tableVersion() <= version) {
+            // A confirmation of a larger version says nothing about the own one.
+            mergeConfirmation(beacon, nowNanos);
+        }
         noteVersion(from, beacon.tableVersion(), nowNanos, actions);
         leaveIsolation(actions);
         return actions;
@@ -358,7 +365,10 @@
             return;
         }
         if (ahead.isEmpty()) {
-            behindDeadlineNanos = nowNanos + ISOLATION_NANOS;
+            // The larger version was accepted after the own one was last confirmed, so peers may rely on it from then
+            // on. The first peers that announce it may be out of reach for a fetch; the others follow within seconds.
+            long provenNanos = confirmed ? confirmedNanos : nowNanos;
+            behindDeadlineNanos = nowNanos + Math.max(provenNanos + ISOLATION_NANOS - nowNanos, FETCH_GRACE_NANOS);
         }
         if (ahead.size() < AHEAD_LIMIT) {
             ahead.put(from.incarnation(), from);
--- a/coordination/src/test/java/org/heatherreach/coordination/table/TableSpreadProperties.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/table/TableSpreadProperties.java
@@ -153,6 +153,48 @@
         assertThat(((TableSpread) fleet.nodes.get(0).table).isolation()).contains(IsolationCause.BEHIND);
     }
 
+    /** Guards against an old table that is served for 7 s from when its successor is heard of, not accepted. */
+    @Property(seed = "7304", tries = 5)
+    void cutSendersLeaveSevenSecondsAfterTheChange(@ForAll @IntRange(min = 0, max = 99_999) int seed) {
+        FleetFake fleet = new FleetFake(false, seed, 3, 1, 60);
+        fleet.write("first");
+        fleet.run(FleetFake.seconds(20));
+        assertThat(fleet.converged(fleet.storeVersion)).isTrue();
+        fleet.cut("z0", "z1");
+        fleet.cut("z0", "z2");
+        fleet.cut("z0", "store");
+        fleet.run(500);
+        fleet.write("second");
+        // The bound of 7 s, one tick and the step of the clock.
+        fleet.run(7_110);
+        assertThat(fleet.nodes)
+                .allSatisfy(node -> assertThat(node.table.version() == fleet.storeVersion
+                                || ((TableSpread) node.table).isolation().isPresent())
+                        .isTrue());
+        fleet.heal();
+        fleet.run(FleetFake.seconds(20));
+        assertThat(fleet.converged(fleet.storeVersion)).isTrue();
+        assertThat(fleet.nodes)
+                .allSatisfy(node ->
+                        assertThat(((TableSpread) node.table).isolation()).isEmpty());
+    }
+
+    /** Guards against a daemon that leaves because a change arrives when its last confirmation is seconds old. */
+    @Example
+    void changesIsolateNobodyWhoCanFetch() {
+        FleetFake fleet = new FleetFake(false, 7305, 3, 1, 60);
+        fleet.cut("z0", "z1");
+        for (int i = 0; i < 20; i++) {
+            fleet.write("version " + i);
+            for (int step = 0; step < 35; step++) {
+                fleet.run(100);
+                assertThat(fleet.nodes)
+                        .allSatisfy(node -> assertThat(((TableSpread) node.table).isolation())
+                                .isEmpty());
+            }
+        }
+    }
+
     /** Guards against "in force everywhere" while a member, or a listed VM without a member, has not reported. */
     @Example
     void inForceNeedsEveryMemberAndEveryListedVm() {
