Contact members that are live in a page and dead here

Cause: after a zone cut heals, a member has to learn that the other side has it as dead before it can refute. That came only from contacts, one per daemon in 5 s: 126 daemons of the cut zone for 754 members outside at 880. A trace shows refutations until 45 s after the heal. Exchanges before that bring the same counter, which doesn't supersede a death.

Change: a daemon that reads a page pings one of the members that the page lists as live and that are dead in its own list. It has to be answered by the member itself, so members that are dead are not revived.

--- a/coordination/src/main/java/org/heatherreach/coordination/member/MemberList.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/member/MemberList.java
@@ -145,6 +145,9 @@
         for (Member update : packet.updates()) {
             merge(update, !page, nowNanos, actions);
         }
+        if (page) {
+            contactDisputed(packet.updates(), actions);
+        }
         switch (packet.kind()) {
             case PING -> answer(packet, actions);
             case PING_REQUEST -> relay(packet, nowNanos, actions);
@@ -543,6 +546,27 @@
         }
     }
 
+    /**
+     * Contacts one member of a page that is live there and dead here. Only the member itself can settle that, by a
+     * larger counter; one per page is enough for many readers to reach all such members without a burst.
+     */
+    private void contactDisputed(List<Member> page, List<MemberAction> actions) {
+        List<Member> disputed = new ArrayList<>();
+        for (Member update : page) {
+            Entry entry = entries.get(update.incarnation());
+            if (entry != null
+                    && entry.member.state() == MemberState.DEAD
+                    && update.state().isLive()) {
+                disputed.add(update);
+            }
+        }
+        if (!disputed.isEmpty()) {
+            MemberAddress address =
+                    disputed.get(random.nextInt(disputed.size())).address();
+            actions.add(send(address, MemberPacket.Kind.PING, ++sequence, 0, 0));
+        }
+    }
+
     private void contact(long nowNanos, List<MemberAction> actions) {
         if (nowNanos - nextContactNanos < 0 || seeds.isEmpty() && listed.isEmpty()) {
             return;
--- a/coordination/src/test/java/org/heatherreach/coordination/member/MemberListProperties.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/member/MemberListProperties.java
@@ -91,6 +91,19 @@
         assertThat(pageRequest(list, 16 * SECOND)).isEmpty();
     }
 
+    /** Guards against a member that stays dead for a minute because nobody tells it so that it can refute. */
+    @Example
+    void memberThatIsLiveInAPageAndDeadHereIsContacted() {
+        MemberList list = afterEmptyExchange();
+        list.receive(ack(0, 0, joins(3, 10)), SECOND);
+        list.receive(ack(0, 0, List.of(member(3, 5).with(MemberState.DEAD, 0))), 2 * SECOND);
+        MemberPacket request = pageRequest(list, 6 * SECOND).orElseThrow();
+        assertThat(list.receive(ack(request.sequence(), 0, joins(3, 10)), 6 * SECOND + 1))
+                .anyMatch(action -> action instanceof MemberAction.SendPacket send
+                        && send.packet().kind() == MemberPacket.Kind.PING
+                        && send.to().equals(member(3, 5).address()));
+    }
+
     /** Guards against a missing daemon that random draws from a long VM list pass over for a minute. */
     @Example
     void theOnlyMissingAddressIsContacted() {
