Add slot leases and the ejection floor to the fault matrix

Cause: the generated matrix covers keyed requests and the table only.

Columns are report, grant, recall and dispatch for slots; evidence, verdict and ejection for the floor.

The naive version of slots fails without any fault, so it says little there.

--- a/bench/src/main/java/org/heatherreach/bench/fault/Step.java
+++ b/bench/src/main/java/org/heatherreach/bench/fault/Step.java
@@ -25,7 +25,21 @@
     /** The new table is about to arrive at a peer of a reader. */
     PUSHED(Promise.TABLE, "pushed"),
     /** Every live daemon has adopted the new table. */
-    IN_FORCE(Promise.TABLE, "in force");
+    IN_FORCE(Promise.TABLE, "in force"),
+    /** A report of holdings is about to arrive at the owner. */
+    REPORTED(Promise.SLOTS, "report"),
+    /** A grant is about to arrive at a daemon. */
+    GRANTED(Promise.SLOTS, "grant"),
+    /** A recall is about to arrive at a daemon. */
+    RECALLED(Promise.SLOTS, "recall"),
+    /** A request that has a slot is about to be sent to its server. */
+    SLOT_USED(Promise.SLOTS, "dispatch"),
+    /** Evidence of traffic is about to arrive at the owner. */
+    EVIDENCE_SENT(Promise.FLOOR, "evidence sent"),
+    /** A verdict is about to arrive at a daemon. */
+    VERDICT_SENT(Promise.FLOOR, "verdict sent"),
+    /** A daemon ejects a server. */
+    EJECTED(Promise.FLOOR, "server ejected");
 
     private final Promise promise;
     private final String label;
--- a/bench/src/test/java/org/heatherreach/bench/fault/FaultMatrixTest.java
+++ b/bench/src/test/java/org/heatherreach/bench/fault/FaultMatrixTest.java
@@ -17,10 +17,12 @@
             assertThat(cells).hasSize(Fault.values().length * promise.steps().size());
             assertThat(cells.stream().flatMap(cell -> cell.failures().stream())).isEmpty();
             assertThat(cells).noneMatch(CellResult::isVoid);
-            // A naive version that fails without a fault would fail in every cell, whatever the faults do.
-            assertThat(cells)
-                    .filteredOn(cell -> cell.fault() == Fault.NONE)
-                    .allMatch(cell -> cell.naiveFailures() == 0);
+            // Elsewhere the naive version would fail in every cell, whatever the faults do.
+            if (promise.isKeptWithoutFaultByNaive()) {
+                assertThat(cells)
+                        .filteredOn(cell -> cell.fault() == Fault.NONE)
+                        .allMatch(cell -> cell.naiveFailures() == 0);
+            }
             assertThat(cells).anyMatch(cell -> cell.naiveFailures() > 0);
         }
     }
