Lease no slot in doubt beside valid leases

Cause: an owner that was paused handles reports late, after it took the leases of its daemons for expired and leased their slots anew. A report that still names slots in use raises what the daemon may be using, so that the bounds of a server exceed its slots. The next need of this daemon was met with these slots, because it "may be using them already", although the same slots were leased to another daemon.

Change: SlotLedger leases a slot that the daemon may be using only while the bounds of the server do not exceed its slots; otherwise the use has to end first.

SlotFleetTest#slotsInDoubtAreNotLeasedBesideValidLeases fails without the change and passes with it.

--- a/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
@@ -602,7 +602,9 @@
     /** Adds one slot to a daemon: one that it may be using already, else a free one, of its own zone first. */
     private boolean raise(View view) {
         for (Hold hold : view.holds.values()) {
+            // Where daemons may use more than the slots, as after expired leases, what they use has to end first.
             if (hold.granted < hold.bound
+                    && hold.server.free() >= 0
                     && hold.granted < hold.server.capacity
                     && view.mayUse(hold.server)
                     && hold.granted >= hold.inUse) {
--- a/coordination/src/test/java/org/heatherreach/coordination/slot/SlotFleetTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/slot/SlotFleetTest.java
@@ -75,6 +75,30 @@
         assertThat(pool.heldOf(server, nowNanos)).isZero();
     }
 
+    // Guards against an owner that was paused, takes late reports of expired leases for slots in use, and then leases
+    // these slots a second time because their daemon may be using them anyway.
+    @Example
+    void slotsInDoubtAreNotLeasedBesideValidLeases() {
+        ServerId server = new ServerId("s0");
+        IncarnationId first = new IncarnationId(1);
+        IncarnationId second = new IncarnationId(2);
+        long nowNanos = 1_000 * SlotFleet.MILLI;
+        SlotLedger ledger = new SlotLedger(SlotFleet.limits(), SlotFleet.ranks(), 0, nowNanos);
+        ledger.onServers(List.of(new SlotServer(server, new ZoneId("z0"), 100)), nowNanos);
+        nowNanos += 300 * SlotFleet.MILLI;
+        ledger.onReport(first, demand(List.of(), SlotFleet.SLOTS, 1), nowNanos);
+        assertThat(ledger.grantedTo(first, server)).isEqualTo(SlotFleet.SLOTS);
+        ledger.onReport(second, demand(List.of(new SlotHolding(server, 1, 1)), 0, 1), nowNanos);
+        ledger.onReport(second, demand(List.of(), 1, 2), nowNanos);
+        assertThat(ledger.grantedTo(first, server) + ledger.grantedTo(second, server))
+                .isLessThanOrEqualTo(SlotFleet.SLOTS);
+    }
+
+    private static SlotReport demand(List<SlotHolding> holdings, int queued, long number) {
+        List<RankDemand> demand = List.of(new RankDemand(Rank.URGENT, queued, 0, 10));
+        return new SlotReport(SlotFleet.limits().service(), 0, holdings, demand, number, 0);
+    }
+
     private static SlotRequest request(String id, long nowNanos) {
         long deadlineNanos = nowNanos + 1_000 * SlotFleet.MILLI;
         return new SlotRequest(new RequestId(id), Rank.URGENT, deadlineNanos, Option.none(), server -> true);
