Lend guaranteed slots that a rank does not need

Cause: each rank with recent arrivals had its whole guarantee reserved, whatever it needed. In a bulk flood 27 % of the slots stayed idle beside full queues, and callers in bursts of standard work had 45 % of the slots. Change: what is reserved for a rank is what it needs now, and at least half of its recent load, up to its guarantee. Ways weighed on trial copies: the whole recent load, half of it, none of it, the load plus one or two standard deviations.

--- a/coordination/src/main/java/org/heatherreach/coordination/rank/RankShares.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/rank/RankShares.java
@@ -6,8 +6,8 @@
 import org.heatherreach.state.table.RankLimits;
 
 /**
- * Divides the slots of a service between ranks: each rank with recent arrivals has its guarantee reserved, and the rest
- * goes to the most urgent rank that needs it. Immutable and safe for use by any thread.
+ * Divides the slots of a service between ranks: each rank has what it needs or is expected to need reserved up to its
+ * guarantee, and the rest goes to the most urgent rank that needs it. Immutable and safe for use by any thread.
  */
 public final class RankShares {
     /** Keeps errors of floating-point arithmetic from adding a whole slot. */
@@ -25,10 +25,10 @@
      *
      * @param slots the slots of the service
      * @param needed the running and queued requests by rank
-     * @param active whether the rank has recent arrivals, by rank
+     * @param expected the slots that are kept free for the rank even while it needs fewer, by rank
      * @param rankLimits the guarantees
      */
-    public RankShares(int slots, int[] needed, boolean[] active, Map<Rank, RankLimits> rankLimits) {
+    public RankShares(int slots, int[] needed, double[] expected, Map<Rank, RankLimits> rankLimits) {
         double[] reserved = new double[RANKS.length];
         double percentSum = 0;
         for (Rank rank : RANKS) {
@@ -39,11 +39,10 @@
         double wanted = 0;
         for (Rank rank : RANKS) {
             int index = rank.ordinal();
-            if (active[index] || needed[index] > 0) {
-                double exact = slots * rankLimits.get(rank).guaranteePercent() / Math.max(100, percentSum);
-                // Slots are whole, so a share that is rounded down would be less than its guarantee.
-                reserved[index] = whole ? Math.ceil(exact - ROUNDING) : exact;
-            }
+            double exact = slots * rankLimits.get(rank).guaranteePercent() / Math.max(100, percentSum);
+            // Slots are whole, so a share that is rounded down would be less than its guarantee.
+            double guarantee = whole ? Math.ceil(exact - ROUNDING) : exact;
+            reserved[index] = Math.min(guarantee, Math.max(needed[index], Math.ceil(expected[index])));
             reservedSum += reserved[index];
             wanted += Math.max(reserved[index], needed[index]);
         }
--- a/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
@@ -55,6 +55,16 @@
     /** Idle slots that stay with the owner, so that a queue gets one within a round trip instead of after a recall. */
     private static final int RESERVE_PERCENT = 10;
 
+    /**
+     * The part of a rank's recent load that is kept free for it beyond what it needs now. Other ranks lend the rest of
+     * its guarantee; it gets that back as their requests end. Reserving the whole load left 2 to 6 % of the slots idle in
+     * a flood, and reserving none let the 99th percentile of standard grow by 31 % instead of 21 % at certdesk.
+     */
+    private static final double RESERVED_LOAD = 0.5;
+
+    /** The recent load follows the load of the last ten rebalancings. */
+    private static final double LOAD_WEIGHT = 0.1;
+
     private static final Rank[] RANKS = Rank.values();
 
     private final int part;
@@ -67,6 +77,7 @@
     private final int[] queued = new int[RANKS.length];
     private final int[] running = new int[RANKS.length];
     private final double[] rates = new double[RANKS.length];
+    private final double[] loads = new double[RANKS.length];
     private final double[] fractions = new double[RANKS.length];
     private final boolean[] limited = new boolean[RANKS.length];
 
@@ -294,6 +305,9 @@
     private void rebalance(long nowNanos, List<LedgerAction> actions) {
         lastRebalanceNanos = nowNanos;
         dropExpired(nowNanos);
+        for (int rank = 0; rank < RANKS.length; rank++) {
+            loads[rank] += LOAD_WEIGHT * (queued[rank] + running[rank] - loads[rank]);
+        }
         updateCaps(nowNanos);
         shareSpareSlots();
         if (nowNanos - leaseFromNanos < 0) {
@@ -328,12 +342,12 @@
 
     private RankShares shares() {
         int[] needed = new int[RANKS.length];
-        boolean[] active = new boolean[RANKS.length];
+        double[] expected = new double[RANKS.length];
         for (int rank = 0; rank < RANKS.length; rank++) {
             needed[rank] = queued[rank] + running[rank];
-            active[rank] = rates[rank] > ACTIVE_RATE;
+            expected[rank] = rates[rank] > ACTIVE_RATE ? RESERVED_LOAD * loads[rank] : 0;
         }
-        return new RankShares(totalSlots, needed, active, rankLimits);
+        return new RankShares(totalSlots, needed, expected, rankLimits);
     }
 
     private void updateCapsIfLimitsChange(long nowNanos, List<LedgerAction> actions) {
