Spread retry hints over the drain time of the backlog

Cause: counts of refusals in the retry storm showed that the slowest calls were those refused once (queue full or deadline unreachable): they stayed away for half to one and a half times the expected wait, when the backlog was nearly gone, and then queued a second time. Change: a hint is drawn evenly over the expected wait.

--- a/coordination/src/main/java/org/heatherreach/coordination/rank/RetryHint.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/rank/RetryHint.java
@@ -19,11 +19,11 @@
     }
 
     /**
-     * Returns a time drawn evenly from half to one and a half times the expected wait, so that callers do not return
-     * together.
+     * Returns a time drawn evenly over the expected wait, in which the backlog drains, so that callers do not return
+     * together and find room as it appears. A caller that stays away for the whole wait queues a second time after it.
      */
     public long drawMillis(long expectedWaitNanos) {
         long baseMillis = Math.max(MIN_MILLIS, Math.min(MAX_MILLIS, expectedWaitNanos / 1_000_000));
-        return baseMillis / 2 + (long) (random.nextDouble() * baseMillis);
+        return MIN_MILLIS / 2 + (long) (random.nextDouble() * (baseMillis - MIN_MILLIS / 2));
     }
 }
