--- a/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/slot/SlotLedger.java
@@ -57,8 +57,8 @@
 
     /**
      * The part of a rank's recent load that is kept free for it beyond what it needs now. Other ranks lend the rest of
-     * its guarantee; it gets that back as their requests end. Reserving the whole load left 2 to 6 % of the slots idle in
-     * a flood, and reserving none let the 99th percentile of standard grow by 31 % instead of 21 % at certdesk.
+     * its guarantee; it gets that back as their requests end. Reserving the whole load left 1 to 4 % more of the slots
+     * idle in a flood, and reserving none let the 99th percentile of standard grow by 31 % instead of 21 % at certdesk.
      */
     private static final double RESERVED_LOAD = 0.5;
 
