Let zones vouch together, and less if a second zone saw a failure

A zone with one failure and a few successes did not count as one that sees the fault. Change: for failures, the evidence of all zones that see none is added up, and a zone counts as one that sees the fault from a sum of 1 instead of a quarter of the limit.

--- a/coordination/src/main/java/org/heatherreach/coordination/health/HealthJudge.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/HealthJudge.java
@@ -59,12 +59,14 @@
     /** With less recent traffic than this a server counts as idle, and probes count for it. */
     private static final double IDLE_REQUESTS = 0.1;
     /**
-     * A zone vouches for a server if its evidence since the pooled score began to rise sums up to this, which is about
+     * Zones vouch for a server if their evidence since the pooled score began to rise sums up to this, which is about
      * five successes. If two zones see the fault, it takes about twelve, as then the server is the likelier cause.
      */
     private static final double VOUCH_SUM = -1;
 
     private static final double STRONG_VOUCH_SUM = -2.5;
+    /** A zone with a failure has seen the fault unless about ten successes outweigh it. */
+    private static final double FAILURE_SEEN_SUM = 1;
     /** A normal latency weighs up to ten times as much as a success, and a slow server has some too. */
     private static final double LATENCY_VOUCH_FACTOR = 16;
 
@@ -388,15 +390,7 @@
     private boolean judgePooled(ServerRecord known, double limit, List<HealthAction> actions, long nowNanos) {
         // Normal latencies do not vouch for a server that fails, nor successes for one that is slow.
         boolean failing = known.isMostlyFailing(0);
-        int bad = 0;
-        double least = 0;
-        for (int scope = 1; scope < known.scopes(); scope++) {
-            double sum = failing ? known.failureSum(scope) : known.latencySum(scope);
-            bad += sum > limit / 4 ? 1 : 0;
-            least = Math.min(least, sum);
-        }
-        double vouchSum = (bad > 1 ? STRONG_VOUCH_SUM : VOUCH_SUM) * (failing ? 1 : LATENCY_VOUCH_FACTOR);
-        boolean vouched = least <= vouchSum;
+        boolean vouched = failing ? isFailureVouched(known) : isLatencyVouched(known, limit);
         if (!vouched) {
             eject(known, 0, actions, nowNanos);
             return true;
@@ -411,6 +405,27 @@
         return changed;
     }
 
+    /** Two explanations are compared: a fault of the server, or cuts between it and the zones that see failures. */
+    private static boolean isFailureVouched(ServerRecord known) {
+        int bad = 0;
+        double vouch = 0;
+        for (int scope = 1; scope < known.scopes(); scope++) {
+            bad += known.failureSum(scope) > FAILURE_SEEN_SUM ? 1 : 0;
+            vouch += Math.min(0, known.failureSum(scope));
+        }
+        return vouch <= (bad > 1 ? STRONG_VOUCH_SUM : VOUCH_SUM);
+    }
+
+    private static boolean isLatencyVouched(ServerRecord known, double limit) {
+        int bad = 0;
+        double least = 0;
+        for (int scope = 1; scope < known.scopes(); scope++) {
+            bad += known.latencySum(scope) > limit / 4 ? 1 : 0;
+            least = Math.min(least, known.latencySum(scope));
+        }
+        return least <= LATENCY_VOUCH_FACTOR * (bad > 1 ? STRONG_VOUCH_SUM : VOUCH_SUM);
+    }
+
     private void eject(ServerRecord known, int scope, List<HealthAction> actions, long nowNanos) {
         String zone = scope == 0 ? "every zone" : "zone " + zones.get(scope - 1);
         String evidence = String.format(
--- a/coordination/src/test/java/org/heatherreach/coordination/health/HealthJudgeTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/health/HealthJudgeTest.java
@@ -55,6 +55,19 @@
         assertThat(shares()).containsExactly(servers.get(4) + "=0");
     }
 
+    // Guards against a few successes in one zone that keep a failing server in use for it, as if links had been cut.
+    @Example
+    void fewSuccessesInOneZoneDoNotVouchForAFailingServer() {
+        run(200, healthy());
+        report(1, 3, 1);
+        report(2, 5, 0);
+        for (int i = 0; i < 6 && judge.verdicts(nowNanos).isEmpty(); i++) {
+            report(0, 1, 1);
+            step(withoutServer(4));
+        }
+        assertThat(shares()).containsExactly(servers.get(4) + "=0");
+    }
+
     // Guards against an ejection on a single bad window, such as a pause of a healthy server.
     @Example
     void oneBadWindowEjectsNothing() {
@@ -233,6 +246,12 @@
         return judge.tick(nowNanos);
     }
 
+    private void report(int daemon, int requests, int errors) {
+        ServerEvidence evidence =
+                new ServerEvidence(servers.get(4), requests, errors, 0, 0, 0, new int[LatencyBuckets.COUNT]);
+        judge.report(observer(daemon), new HealthReport(SERVICE, 0, zone(daemon), List.of(evidence)), nowNanos);
+    }
+
     private List<String> shares() {
         return judge.verdicts(nowNanos).stream()
                 .filter(verdict -> verdict.observerZone().equals(Optional.empty()))
