Run all pairs of faults in the fault matrix

Cause: single faults leave out what two of them bring out together.

The faults of links add up; two faults of the store, or two floods, replace each other.

KeyedWorld now judges "not run" when a daemon says it, and against each run of that same send before or after. Before, it compared the late arrival of a true answer with a run of a later send of the key, which no daemon can know ("delay at INTENT_ACKNOWLEDGED, flood-bulk at INTENT_ACKNOWLEDGED": the first send was shed, and its answer arrived after the second send had run). A barred key is still judged against every run.

--- a/bench/src/main/java/org/heatherreach/bench/fault/Fault.java
+++ b/bench/src/main/java/org/heatherreach/bench/fault/Fault.java
@@ -39,7 +39,7 @@
 
         @Override
         void end(FaultWorld world, int victim) {
-            world.heal(victim);
+            world.heal(victim, true, false);
         }
     },
     /** Nothing that the daemon sends arrives. */
@@ -51,7 +51,7 @@
 
         @Override
         void end(FaultWorld world, int victim) {
-            world.heal(victim);
+            world.heal(victim, false, true);
         }
     },
     /** The daemon is cut off in both directions. */
@@ -63,7 +63,7 @@
 
         @Override
         void end(FaultWorld world, int victim) {
-            world.heal(victim);
+            world.heal(victim, true, true);
         }
     },
     /** Messages take up to 1.2 s longer, which passes the time-outs of the intents and of the pings. */
@@ -75,7 +75,7 @@
 
         @Override
         void end(FaultWorld world, int victim) {
-            world.disturbLinks(0, 0, 0);
+            world.disturbLinks(-1_200, 0, 0);
         }
     },
     /** Half of the messages are lost. */
@@ -87,7 +87,7 @@
 
         @Override
         void end(FaultWorld world, int victim) {
-            world.disturbLinks(0, 0, 0);
+            world.disturbLinks(0, -0.5, 0);
         }
     },
     /** Half of the messages arrive a second time, up to a second later. */
@@ -99,7 +99,7 @@
 
         @Override
         void end(FaultWorld world, int victim) {
-            world.disturbLinks(0, 0, 0);
+            world.disturbLinks(0, 0, -0.5);
         }
     },
     /** Messages overtake each other by up to 60 ms. */
@@ -111,7 +111,7 @@
 
         @Override
         void end(FaultWorld world, int victim) {
-            world.disturbLinks(0, 0, 0);
+            world.disturbLinks(-60, 0, 0);
         }
     },
     /** The store refuses every call. */
--- a/bench/src/main/java/org/heatherreach/bench/fault/FaultWorld.java
+++ b/bench/src/main/java/org/heatherreach/bench/fault/FaultWorld.java
@@ -228,9 +228,19 @@
         return isRunning(node) ? 0 : (nowNanos - silentSinceNanos[node]) / MILLIS;
     }
 
-    /** Returns whether a daemon runs and has had no fault for a time. */
+    /**
+     * Returns whether a daemon runs and has had no fault for a time. With two faults no other daemon may have had one
+     * either, because together they can take all readers from a sound daemon.
+     */
     boolean isSound(int node, long millis) {
-        return isRunning(node) && disturbances[node] == 0 && nowNanos - soundSinceNanos[node] >= millis * MILLIS;
+        if (plans.size() < 2) {
+            return isRunning(node) && isUndisturbed(node, millis);
+        }
+        return isRunning(node) && IntStream.range(0, size).allMatch(other -> isUndisturbed(other, millis));
+    }
+
+    private boolean isUndisturbed(int node, long millis) {
+        return disturbances[node] == 0 && nowNanos - soundSinceNanos[node] >= millis * MILLIS;
     }
 
     List<Integer> zoneOf(int node) {
@@ -292,20 +302,21 @@
     }
 
     void cut(int node, boolean inbound, boolean outbound) {
-        heal(node);
+        if (!cutInbound.contains(node) && !cutOutbound.contains(node)) {
+            disturbances[node]++;
+        }
         if (inbound) {
             cutInbound.add(node);
         }
         if (outbound) {
             cutOutbound.add(node);
         }
-        disturbances[node]++;
     }
 
-    void heal(int node) {
-        boolean wasCut = cutInbound.remove(node);
-        wasCut |= cutOutbound.remove(node);
-        if (wasCut) {
+    void heal(int node, boolean inbound, boolean outbound) {
+        boolean removed = inbound && cutInbound.remove(node);
+        removed |= outbound && cutOutbound.remove(node);
+        if (removed && !cutInbound.contains(node) && !cutOutbound.contains(node)) {
             settle(node);
         }
     }
@@ -315,12 +326,13 @@
         soundSinceNanos[node] = nowNanos;
     }
 
-    void disturbLinks(int newDelayMillis, double newLoss, double newDuplicates) {
-        delayMillis = newDelayMillis;
-        loss = newLoss;
-        duplicates = newDuplicates;
+    /** Adds to what the links do to messages; negative arguments take it away. */
+    void disturbLinks(int moreDelayMillis, double moreLoss, double moreDuplicates) {
+        delayMillis = Math.max(0, delayMillis + moreDelayMillis);
+        loss = Math.max(0, loss + moreLoss);
+        duplicates = Math.max(0, duplicates + moreDuplicates);
         // Reordered and repeated messages arrive in time, so they excuse nothing.
-        boolean disturbed = newDelayMillis > TICK_MILLIS || newLoss > 0;
+        boolean disturbed = delayMillis > TICK_MILLIS || loss > 0;
         if (disturbed != linksDisturbed) {
             linksDisturbed = disturbed;
             disturbAll(disturbed);
@@ -341,10 +353,10 @@
     /** Repairs whatever a fault that overlapped another one has left, except processes that ended. */
     void repairAll() {
         for (int i = 0; i < size; i++) {
-            heal(i);
+            heal(i, true, true);
             resume(i);
         }
-        disturbLinks(0, 0, 0);
+        disturbLinks(-delayMillis, -loss, -duplicates);
     }
 
     void changeStore(StoreMode mode) {
--- a/bench/src/main/java/org/heatherreach/bench/fault/FaultsBenchmark.java
+++ b/bench/src/main/java/org/heatherreach/bench/fault/FaultsBenchmark.java
@@ -37,6 +37,17 @@
             report.add("cells broken", subject, "naive", naive, "cells");
             report.add("cells broken", subject, "product", broken, "cells");
         }
-        report.addPage(PAGE, new MatrixPage(seed, results).text());
+        Map<Promise, List<PairResult>> pairs = new LinkedHashMap<>();
+        for (Promise promise : FaultMatrix.PAIR_PROMISES) {
+            List<PairResult> ran = matrix.runPairs(promise);
+            pairs.put(promise, ran);
+            report.add(
+                    "pairs broken",
+                    promise.subject(),
+                    "product",
+                    ran.stream().filter(pair -> pair.failure().isPresent()).count(),
+                    "pairs");
+        }
+        report.addPage(PAGE, new MatrixPage(seed, results, pairs).text());
     }
 }
--- a/bench/src/main/java/org/heatherreach/bench/fault/KeyedWorld.java
+++ b/bench/src/main/java/org/heatherreach/bench/fault/KeyedWorld.java
@@ -67,6 +67,8 @@
     private final Map<RequestId, ExecutionKey> keys = new HashMap<>();
     private final Map<RequestId, Object> answers = new HashMap<>();
     private final Map<ExecutionKey, Integer> runs = new HashMap<>();
+    private final Set<RequestId> ran = new HashSet<>();
+    private final Set<RequestId> toldNotRun = new HashSet<>();
     private final Set<ExecutionKey> barred = new HashSet<>();
     private ExecutionKey key;
     private int other = 4;
@@ -117,9 +119,6 @@
                 violate(send + " had no answer 5 s after the fault");
             }
         }
-        if (answers.values().stream().anyMatch(RecordedAnswer.class::isInstance) && !runs.containsKey(key)) {
-            violate("an answer of a server for a request that never ran");
-        }
         if (allBegun()) {
             sends.forEach(send -> note(send + ": " + answers.get(send)));
         }
@@ -207,7 +206,7 @@
         at(1, watched ? Step.DISPATCHED : null, () -> {
             boolean crash = crashing && watched;
             if (!shed) {
-                serve(attempt.key());
+                serve(attempt.key(), dispatch.request());
             }
             executor.await(crash ? CRASH_MILLIS : RUN_MILLIS, watched ? Step.BACKEND_ANSWERED : null, () -> {
                 if (shed) {
@@ -241,7 +240,7 @@
         });
     }
 
-    private void serve(ExecutionKey served) {
+    private void serve(ExecutionKey served, RequestId request) {
         int count = runs.merge(served, 1, Integer::sum);
         if (count > 1) {
             violate(served + " ran " + count + " times");
@@ -249,6 +248,23 @@
         if (barred.contains(served)) {
             violate(served + " ran after it was barred");
         }
+        ran.add(request);
+        if (toldNotRun.contains(request)) {
+            violate(request + " ran after its caller was told \"not run\"");
+        }
+    }
+
+    /** Checks what a daemon says when it says it; by its arrival the caller may have sent the key again. */
+    private void checkSaid(RequestId request, Object answer) {
+        ExecutionKey asked = keys.get(request);
+        boolean hasRun = runs.containsKey(asked);
+        if (answer instanceof RefusalReason reason) {
+            if (reason.outcome() == Outcome.NOT_RUN && hasRun) {
+                violate("\"not run\" (" + reason + ") said for " + asked + ", which ran");
+            }
+        } else if (!hasRun) {
+            violate("answer of a server for " + asked + ", which never ran");
+        }
     }
 
     private void answer(RequestId request, Object answer) {
@@ -264,11 +280,15 @@
         }
         RefusalReason reason = (RefusalReason) answer;
         if (reason.outcome() == Outcome.NOT_RUN) {
-            if (runs.containsKey(asked)) {
-                violate("\"not run\" (" + reason + ") for " + asked + ", which ran");
+            toldNotRun.add(request);
+            if (ran.contains(request)) {
+                violate("\"not run\" (" + reason + ") for " + request + ", which ran");
             }
             if (reason == RefusalReason.KEY_BARRED) {
                 barred.add(asked);
+                if (runs.containsKey(asked)) {
+                    violate("\"not run\" (" + reason + ") for " + asked + ", which ran");
+                }
             }
         }
     }
@@ -359,6 +379,7 @@
         }
 
         private void reply(RequestId request, Object answer) {
+            checkSaid(request, answer);
             int entry = entries.get(request);
             if (entry == index) {
                 answer(request, answer);
--- a/bench/src/main/java/org/heatherreach/bench/fault/MatrixPage.java
+++ b/bench/src/main/java/org/heatherreach/bench/fault/MatrixPage.java
@@ -10,9 +10,12 @@
     private final long seed;
     private final Map<Promise, List<CellResult>> results;
 
-    MatrixPage(long seed, Map<Promise, List<CellResult>> results) {
+    private final Map<Promise, List<PairResult>> pairs;
+
+    MatrixPage(long seed, Map<Promise, List<CellResult>> results, Map<Promise, List<PairResult>> pairs) {
         this.seed = seed;
         this.results = results;
+        this.pairs = pairs;
     }
 
     String text() {
@@ -20,6 +23,7 @@
         text.append("\nSeed ").append(seed).append(". \"n/a\" means not applicable, for the reason below the table. ");
         text.append("\"naive 3\" means that\nthe naive version breaks the promise in three runs of the cell.\n");
         results.forEach((promise, cells) -> append(text, promise, cells));
+        appendPairs(text);
         return text.append('\n').toString();
     }
 
@@ -53,8 +57,34 @@
                 .append(": ")
                 .append(reason)
                 .append(".\n"));
-        List<String> failures =
-                cells.stream().flatMap(cell -> cell.failures().stream()).toList();
+        appendFailures(
+                text, cells.stream().flatMap(cell -> cell.failures().stream()).toList());
+    }
+
+    private void appendPairs(StringBuilder text) {
+        text.append("\n### Pairs of faults\n\n");
+        text.append("Each pair of applicable faults runs once, each fault at a random step, with the product only. ");
+        text.append("All checks of the\nworld apply; slots and floor have one world.\n\n");
+        text.append("| promise | pairs | ran | failed |\n|---|---|---|---|\n");
+        pairs.forEach((promise, ran) -> text.append("| ")
+                .append(promise.subject())
+                .append(promise == Promise.SLOTS ? " and " + Promise.FLOOR.subject() : "")
+                .append(" | ")
+                .append(ran.size())
+                .append(" | ")
+                .append(ran.stream().filter(PairResult::ran).count())
+                .append(" | ")
+                .append(ran.stream().filter(pair -> pair.failure().isPresent()).count())
+                .append(" |\n"));
+        appendFailures(
+                text,
+                pairs.values().stream()
+                        .flatMap(List::stream)
+                        .flatMap(pair -> pair.failure().stream())
+                        .toList());
+    }
+
+    private static void appendFailures(StringBuilder text, List<String> failures) {
         if (!failures.isEmpty()) {
             text.append("\nFailed runs:\n\n```\n")
                     .append(String.join("\n", failures))
--- a/bench/src/main/java/org/heatherreach/bench/fault/Promise.java
+++ b/bench/src/main/java/org/heatherreach/bench/fault/Promise.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /** The groups of columns: what a world runs, and which faults have no meaning there. Immutable. */
 public enum Promise {
@@ -125,6 +126,13 @@
                 .toList();
     }
 
+    /** Returns the steps at which pairs of faults begin; those of one world make one list. */
+    List<Step> pairSteps() {
+        return this == SLOTS || this == FLOOR
+                ? Stream.concat(SLOTS.steps().stream(), FLOOR.steps().stream()).toList()
+                : steps();
+    }
+
     abstract FaultWorld create(boolean naive, long seed);
 
     /** Returns why a fault can't occur at any step of this promise; empty if it can. */
--- a/bench/src/main/java/org/heatherreach/bench/fault/SlotWorld.java
+++ b/bench/src/main/java/org/heatherreach/bench/fault/SlotWorld.java
@@ -153,7 +153,7 @@
     @Override
     List<Integer> victims() {
         int owner = nodes.stream()
-                .filter(node -> isRunning(node.index))
+                .filter(node -> isRunning(node.index) && node.owner >= 0)
                 .mapToInt(node -> node.owner)
                 .findFirst()
                 .orElse(0);
--- a/bench/src/main/java/org/heatherreach/bench/fault/TableWorld.java
+++ b/bench/src/main/java/org/heatherreach/bench/fault/TableWorld.java
@@ -131,6 +131,11 @@
         return victims.subList(0, (int) Math.min(victims.size(), Math.max(2, 2 * readers)));
     }
 
+    @Override
+    List<Integer> zoneOf(int node) {
+        return super.zoneOf(node).stream().filter(other -> other != SPARE).toList();
+    }
+
     @Override
     void startProcess(int node) {
         nodes.get(node).start();
--- a/bench/src/test/java/org/heatherreach/bench/fault/FaultMatrixTest.java
+++ b/bench/src/test/java/org/heatherreach/bench/fault/FaultMatrixTest.java
@@ -26,4 +26,15 @@
             assertThat(cells).anyMatch(cell -> cell.naiveFailures() > 0);
         }
     }
+
+    // Guards against faults that only two causes together bring out, and against pairs that are left out silently.
+    @Example
+    void everyPairOfFaultsHolds() {
+        FaultMatrix matrix = new FaultMatrix(FaultMatrix.SEED);
+        for (Promise promise : FaultMatrix.PAIR_PROMISES) {
+            List<PairResult> pairs = matrix.runPairs(promise);
+            assertThat(pairs).hasSizeGreaterThan(100).allMatch(PairResult::ran);
+            assertThat(pairs.stream().flatMap(pair -> pair.failure().stream())).isEmpty();
+        }
+    }
 }
