--- a/coordination/src/test/java/org/heatherreach/coordination/slot/SlotApportionTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/slot/SlotApportionTest.java
@@ -44,9 +44,8 @@
         assertThat(caps).containsEntry(BUSY, 4).containsEntry(QUIET, 2);
     }
 
-    // Guards against a request that waits for the owner beside an idle slot, because the cap of its rank is its
-    // daemon's
-    // mean share of the slots.
+    // Guards against a request that waits for the owner beside an idle slot, because the cap of its rank is the mean
+    // share of its daemon.
     @Example
     void calmRankMayUseWhatOthersLeaveAtOneDaemon() {
         SlotLedger ledger = new SlotLedger(new ServiceLimits(SERVICE, 50, 6, 100, 10), equalRanks(), 0, 0);
