Tick the schedule duty by the deadlines of its pools

Change: DutyThread.tickBy brings the next tick forward; the schedule duty sets it to the nearest deadline of its parts, at most once a millisecond, and ticks each 10 ms otherwise.

--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/DutyRing.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/DutyRing.java
@@ -68,6 +68,11 @@
         }
     }
 
+    /** Brings the next tick forward to a deadline; only the handler and the tick may call it. */
+    void tickBy(long deadlineNanos) {
+        thread.tickBy(deadlineNanos);
+    }
+
     @Override
     public void close() {
         thread.close();
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/ScheduleDuty.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/ScheduleDuty.java
@@ -72,6 +72,9 @@
     /** Pools ask for a report again after half a millisecond at the earliest. */
     private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
+    /** Without a nearer deadline of a pool or ledger the duty ticks this often, to find a change that met a full ring. */
+    private static final long IDLE_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
     /** Requests wait at most this long behind a change that concerns every service, such as a new member. */
     private static final long REFRESH_SLICE_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
@@ -99,6 +102,7 @@
     private final Counter localDispatches;
     private final Counter strayMessages;
     private volatile int ownedParts;
+    private long tickNanos;
     private boolean closing;
 
     /**
@@ -125,7 +129,7 @@
         this.hint = new RetryHint(random);
         this.changes = new FleetChanges(members, servers);
         this.owners = changes.owners();
-        this.ring = new DutyRing<>("schedule", ringCapacity, this::handle, this::tick, TICK_NANOS, registry);
+        this.ring = new DutyRing<>("schedule", ringCapacity, this::handle, this::tick, IDLE_TICK_NANOS, registry);
         leasedDispatches = registry.counter("heatherreach.slots.dispatched", "slot", "leased");
         queuedDispatches = registry.counter("heatherreach.slots.dispatched", "slot", "queued");
         localDispatches = registry.counter("heatherreach.slots.dispatched", "slot", "local-share");
@@ -240,6 +244,7 @@
     }
 
     private void tick(long nowNanos) {
+        tickNanos = nowNanos;
         refresh(nowNanos);
         for (ScheduledService service : services.values()) {
             for (ScheduledPart part : service.parts()) {
@@ -249,11 +254,17 @@
                     }
                     carryOut(service, part, part.pool().tick(nowNanos));
                 }
+                tickBy(part.dueNanos());
             }
         }
         deliverOwnMessages();
     }
 
+    private void tickBy(long deadlineNanos) {
+        long earliestNanos = tickNanos + TICK_NANOS;
+        ring.tickBy(deadlineNanos - earliestNanos < 0 ? earliestNanos : deadlineNanos);
+    }
+
     /** Messages of this daemon to itself run after the event that caused them, so that no decision is re-entered. */
     private void deliverOwnMessages() {
         Runnable message = ownMessages.poll();
@@ -361,7 +372,7 @@
                 }
             }
         }
-        part.planNext();
+        tickBy(part.planNext());
     }
 
     private void dispatch(ScheduledService service, ScheduledPart part, SlotAction.Dispatch dispatch) {
@@ -418,7 +429,7 @@
             return;
         }
         sendAll(part.ledger().onReport(daemon, report, nowNanos));
-        part.planNext();
+        tickBy(part.planNext());
     }
 
     private void takeGrant(IncarnationId owner, SlotGrant grant, long nowNanos) {
@@ -459,6 +470,9 @@
             next.remove();
             refreshService(service, nowNanos);
         } while (next.hasNext() && System.nanoTime() - nowNanos < REFRESH_SLICE_NANOS);
+        if (!dirty.isEmpty()) {
+            tickBy(nowNanos);
+        }
         if (dirty.isEmpty()) {
             ownedParts = (int) services.values().stream()
                     .flatMap(service -> service.parts().stream())
@@ -537,7 +551,7 @@
         if (owner.isPresent()) {
             carryOut(service, part, part.updateOwner(owner.get(), nowNanos));
         }
-        part.planNext();
+        tickBy(part.planNext());
     }
 
     /** Returns the servers that this daemon may connect to, so that no server gets more connections than its limit. */
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/ScheduledPart.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/ScheduledPart.java
@@ -131,12 +131,17 @@
         return nowNanos - dueNanos >= 0;
     }
 
-    /** Notes when the pool or the ledger is due next. */
-    void planNext() {
+    /** Notes and returns when the pool or the ledger is due next. */
+    long planNext() {
         dueNanos = pool.nextDeadlineNanos();
         if (ledger != null && ledger.nextDeadlineNanos() - dueNanos < 0) {
             dueNanos = ledger.nextDeadlineNanos();
         }
+        return dueNanos;
+    }
+
+    long dueNanos() {
+        return dueNanos;
     }
 
     private void countUsable() {
--- a/transport/src/main/java/org/heatherreach/transport/ring/DutyThread.java
+++ b/transport/src/main/java/org/heatherreach/transport/ring/DutyThread.java
@@ -15,7 +15,7 @@
  *
  * <p>Invariants: events are handled one at a time in the order in which they were accepted; an event that was
  * accepted is handled unless the thread is closed first; a full ring refuses the event and counts it.
- * The tick runs on the same thread and never at the same time as an event.
+ * The tick runs on the same thread and never at the same time as an event, at the latest one interval after the last.
  *
  * <p>Thread safety: {@link #offer} may be called by any thread; the handler and the tick run on the duty thread only.
  *
@@ -33,6 +33,7 @@
     private final Thread thread;
     private volatile boolean running = true;
     private volatile boolean parked;
+    private long tickDeadlineNanos;
 
     /**
      * Creates a duty; {@link #start} starts its thread.
@@ -40,8 +41,8 @@
      * @param name the name of the thread
      * @param ringCapacity the number of events that the ring holds, rounded up to a power of two
      * @param handler handles one event
-     * @param tick called with the current time after each tick interval
-     * @param tickIntervalNanos the time between two ticks
+     * @param tick called with the current time after each tick interval, or sooner after {@link #tickBy}
+     * @param tickIntervalNanos the greatest time between two ticks
      * @throws IllegalArgumentException if the capacity or the interval is not positive
      */
     public DutyThread(String name, int ringCapacity, Consumer<E> handler, LongConsumer tick, long tickIntervalNanos) {
@@ -77,6 +78,13 @@
         return true;
     }
 
+    /** Brings the next tick forward to a deadline; only the handler and the tick may call it. */
+    public void tickBy(long deadlineNanos) {
+        if (deadlineNanos - tickDeadlineNanos < 0) {
+            tickDeadlineNanos = deadlineNanos;
+        }
+    }
+
     /** Returns how many events were refused because the ring was full or the duty closed. */
     public long refusedEvents() {
         return refusedEvents.get();
@@ -108,7 +116,7 @@
     }
 
     private void run() {
-        long tickDeadlineNanos = System.nanoTime() + tickIntervalNanos;
+        tickDeadlineNanos = System.nanoTime() + tickIntervalNanos;
         while (running || !ring.isEmpty()) {
             E event = ring.poll();
             if (event != null) {
@@ -116,8 +124,9 @@
             }
             long nowNanos = System.nanoTime();
             if (nowNanos - tickDeadlineNanos >= 0) {
-                runTick(nowNanos);
+                // Set before the tick, which may bring the next one forward.
                 tickDeadlineNanos = nowNanos + tickIntervalNanos;
+                runTick(nowNanos);
             } else if (event == null) {
                 parkUntil(tickDeadlineNanos - nowNanos);
             }
--- a/transport/src/test/java/org/heatherreach/transport/ring/DutyThreadTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/ring/DutyThreadTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 import net.jqwik.api.Example;
 
@@ -41,6 +42,27 @@
         assertThat(seen).containsExactly(0, 1, 2, 3);
     }
 
+    // Guards against deadlines that wait for the next regular tick, and against a tick that forgets the interval.
+    @Example
+    void ticksByTheDeadlineThatAnEventSets() throws InterruptedException {
+        CountDownLatch ticked = new CountDownLatch(2);
+        AtomicReference<DutyThread<Integer>> self = new AtomicReference<>();
+        try (DutyThread<Integer> duty = new DutyThread<>(
+                "duty-test",
+                4,
+                event -> self.get().tickBy(System.nanoTime()),
+                nowNanos -> {
+                    ticked.countDown();
+                    self.get().tickBy(nowNanos);
+                },
+                TimeUnit.DAYS.toNanos(1))) {
+            self.set(duty);
+            duty.start();
+            assertThat(duty.offer(1)).isTrue();
+            assertThat(ticked.await(20, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+
     private static void await(CountDownLatch latch) {
         try {
             latch.await();
