Show that the naive version repeats what may have run

Cause: blind retry, a part of the naive version, had no test, so no test showed what the rule for retries prevents. Change: neverRepeatsWhatMayHaveRun sends a request without a key to a server that runs it and loses the answer, in both modes under the full retry budget. Conclusion: the difference is the rule of ProxyMode, not the budget.

--- a/transport/src/test/java/org/heatherreach/transport/http/ProxyFaultsTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/ProxyFaultsTest.java
@@ -333,6 +333,33 @@
         }
     }
 
+    // Guards against a lost answer that makes a request without an execution key run again, as the naive version does.
+    @Example
+    void neverRepeatsWhatMayHaveRun() throws Exception {
+        for (ProxyMode mode : ProxyMode.values()) {
+            AtomicInteger runs = new AtomicInteger();
+            ProxyFixture fixture = new ProxyFixture().backend(call -> {
+                runs.incrementAndGet();
+                call.reset();
+                return false;
+            });
+            fixture.catalog.limits = new ServiceLimits(ProxyFixture.SERVICE, 50, 3, 10, 100);
+            try (fixture) {
+                fixture.start(parts -> ProxyFixture.withMode(parts, mode));
+                try (RawCaller caller = fixture.caller()) {
+                    assertThat(caller.post("/booking", HELLO).outcome()).isEqualTo("unknown");
+                }
+                if (mode == ProxyMode.FLEET) {
+                    assertThat(runs).hasValue(1);
+                } else {
+                    assertThat(runs)
+                            .as("the check is worth nothing unless this runs twice")
+                            .hasValueGreaterThan(1);
+                }
+            }
+        }
+    }
+
     // Guards against a request that is lost because one server is down, and against "unknown" where nothing was sent.
     @Example
     void refusesAsNotRunWhenNoConnectionCanBeMade() throws Exception {
--- a/transport/src/test/java/org/heatherreach/transport/http/ProxyFixture.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/ProxyFixture.java
@@ -110,6 +110,23 @@
                 parts.history());
     }
 
+    /** Returns parts in another mode, such as the naive one. */
+    static ProxyParts withMode(ProxyParts parts, ProxyMode mode) {
+        return new ProxyParts(
+                mode,
+                parts.limits(),
+                parts.gate(),
+                parts.catalog(),
+                parts.scheduler(),
+                parts.keyed(),
+                parts.observer(),
+                parts.crashFilter(),
+                parts.meters(),
+                parts.incarnation(),
+                parts.requestIds(),
+                parts.history());
+    }
+
     static ProxyParts withKeyed(ProxyParts parts, KeyedExecution keyed) {
         return new ProxyParts(
                 parts.mode(),
