Use plain names for evidence on the health of servers

Cause: HealthJudge said that zones vouch for a server, the fault matrix that a daemon is sound, and two enums of different layers had the same name FailureKind, so HealthDuty named one of them in full in each line. Change: zones see a server as healthy; a daemon is free of faults; the enum of the decision logic is called ServerFailure. No behaviour changes.

--- a/bench/src/main/java/org/heatherreach/bench/detection/DetectionTrial.java
+++ b/bench/src/main/java/org/heatherreach/bench/detection/DetectionTrial.java
@@ -11,13 +11,13 @@
 
 import org.heatherreach.coordination.health.DaemonHealth;
 import org.heatherreach.coordination.health.EvidenceWindow;
-import org.heatherreach.coordination.health.FailureKind;
 import org.heatherreach.coordination.health.HealthAction;
 import org.heatherreach.coordination.health.HealthJudge;
 import org.heatherreach.coordination.health.HealthReport;
 import org.heatherreach.coordination.health.JudgeResult;
 import org.heatherreach.coordination.health.NaiveHealth;
 import org.heatherreach.coordination.health.PooledHealth;
+import org.heatherreach.coordination.health.ServerFailure;
 import org.heatherreach.coordination.health.VerdictList;
 import org.heatherreach.state.id.IncarnationId;
 import org.heatherreach.state.id.ServerId;
@@ -193,7 +193,7 @@
         }
         boolean unreachable = bad && faulty && fault == Fault.ONE_ZONE && daemon % ZONES == 0;
         if (unreachable) {
-            finish(daemon, server, CONNECT_TIMEOUT_NANOS, exchange, FailureKind.CONNECT);
+            finish(daemon, server, CONNECT_TIMEOUT_NANOS, exchange, ServerFailure.CONNECT);
             return;
         }
         double factor = fault.slowFactor(faulty, server >= initialServers, since);
@@ -203,7 +203,7 @@
             if (random.nextBoolean()) {
                 schedule(nowNanos + latency, () -> health.answer(exchange, nowNanos));
             }
-            finish(daemon, server, site.timeoutNanos(), exchange, FailureKind.STALLED);
+            finish(daemon, server, site.timeoutNanos(), exchange, ServerFailure.STALLED);
             return;
         }
         boolean error = models.get(server).drawError();
@@ -211,17 +211,17 @@
         error |= bad && daemon == FAULTY_DAEMON && fault == Fault.FAULTY_DAEMON && random.nextBoolean();
         boolean truncated = bad && faulty && fault == Fault.TRUNCATING && random.nextBoolean();
         if (latency >= site.timeoutNanos()) {
-            finish(daemon, server, site.timeoutNanos(), exchange, FailureKind.STALLED);
+            finish(daemon, server, site.timeoutNanos(), exchange, ServerFailure.STALLED);
         } else if (error) {
-            finish(daemon, server, latency, exchange, FailureKind.ERROR);
+            finish(daemon, server, latency, exchange, ServerFailure.ERROR);
         } else if (truncated) {
-            finish(daemon, server, latency, exchange, FailureKind.TRUNCATED);
+            finish(daemon, server, latency, exchange, ServerFailure.TRUNCATED);
         } else {
             finish(daemon, server, latency, exchange, null);
         }
     }
 
-    private void finish(int daemon, int server, long afterNanos, long exchange, FailureKind kind) {
+    private void finish(int daemon, int server, long afterNanos, long exchange, ServerFailure kind) {
         schedule(nowNanos + afterNanos, () -> {
             inUse[server]--;
             if (kind == null) {
--- a/bench/src/main/java/org/heatherreach/bench/fault/FaultWorld.java
+++ b/bench/src/main/java/org/heatherreach/bench/fault/FaultWorld.java
@@ -52,7 +52,7 @@
     /** The number of faults that strike a daemon now. */
     private final int[] disturbances;
     /** Since when a daemon has been free of faults. */
-    private final long[] soundSinceNanos;
+    private final long[] faultFreeSinceNanos;
 
     private final List<List<Runnable>> buffers = new ArrayList<>();
     private int delayMillis;
@@ -71,7 +71,7 @@
         generations = new int[size];
         silentSinceNanos = new long[size];
         disturbances = new int[size];
-        soundSinceNanos = new long[size];
+        faultFreeSinceNanos = new long[size];
         for (int i = 0; i < size; i++) {
             buffers.add(new ArrayList<>());
         }
@@ -230,9 +230,9 @@
 
     /**
      * Returns whether a daemon runs and has had no fault for a time. With two faults no other daemon may have had one
-     * either, because together they can take all readers from a sound daemon.
+     * either, because together they can take all readers from a daemon without faults.
      */
-    boolean isSound(int node, long millis) {
+    boolean isFaultFree(int node, long millis) {
         if (plans.size() < 2) {
             return isRunning(node) && isUndisturbed(node, millis);
         }
@@ -240,7 +240,7 @@
     }
 
     private boolean isUndisturbed(int node, long millis) {
-        return disturbances[node] == 0 && nowNanos - soundSinceNanos[node] >= millis * MILLIS;
+        return disturbances[node] == 0 && nowNanos - faultFreeSinceNanos[node] >= millis * MILLIS;
     }
 
     List<Integer> zoneOf(int node) {
@@ -255,7 +255,7 @@
         generations[node]++;
         buffers.get(node).clear();
         up[node] = true;
-        soundSinceNanos[node] = nowNanos;
+        faultFreeSinceNanos[node] = nowNanos;
         startProcess(node);
         scheduleTick(node, 1 + random.nextInt(TICK_MILLIS));
     }
@@ -323,7 +323,7 @@
 
     private void settle(int node) {
         disturbances[node]--;
-        soundSinceNanos[node] = nowNanos;
+        faultFreeSinceNanos[node] = nowNanos;
     }
 
     /** Adds to what the links do to messages; negative arguments take it away. */
--- a/bench/src/main/java/org/heatherreach/bench/fault/SlotWorld.java
+++ b/bench/src/main/java/org/heatherreach/bench/fault/SlotWorld.java
@@ -13,12 +13,12 @@
 
 import io.vavr.control.Option;
 import org.heatherreach.coordination.health.DaemonHealth;
-import org.heatherreach.coordination.health.FailureKind;
 import org.heatherreach.coordination.health.HealthAction;
 import org.heatherreach.coordination.health.HealthJudge;
 import org.heatherreach.coordination.health.JudgeResult;
 import org.heatherreach.coordination.health.NaiveHealth;
 import org.heatherreach.coordination.health.PooledHealth;
+import org.heatherreach.coordination.health.ServerFailure;
 import org.heatherreach.coordination.health.VerdictList;
 import org.heatherreach.coordination.slot.LeasedSlotPool;
 import org.heatherreach.coordination.slot.LedgerAction;
@@ -226,7 +226,7 @@
                             node.index,
                             1,
                             null,
-                            () -> node.finish(run, FailureKind.TRUNCATED, RetryReason.CONNECTION_LOST)));
+                            () -> node.finish(run, ServerFailure.TRUNCATED, RetryReason.CONNECTION_LOST)));
         }
         after(CRASH_GAP_MILLIS, this::crashOnce);
     }
@@ -538,22 +538,22 @@
             boolean unreachable = isCut(index, OUTSIDE) || isCut(OUTSIDE, index);
             if (unreachable || serverDownNanos[run.server] > nowNanos) {
                 int millis = unreachable ? CONNECT_TIMEOUT_MILLIS : 1;
-                end(run, millis, FailureKind.CONNECT, RetryReason.CONNECT_FAILED);
+                end(run, millis, ServerFailure.CONNECT, RetryReason.CONNECT_FAILED);
             } else if (isLost()) {
-                end(run, STALL_MILLIS, FailureKind.STALLED, null);
+                end(run, STALL_MILLIS, ServerFailure.STALLED, null);
             } else {
                 boolean error = run.server == GRAY_SERVER && random.nextDouble() < GRAY_ERRORS;
                 int millis = RUN_MILLIS + random.nextInt(RUN_JITTER_MILLIS) + drawDelayMillis();
-                end(run, Math.min(millis, STALL_MILLIS), error ? FailureKind.ERROR : null, null);
+                end(run, Math.min(millis, STALL_MILLIS), error ? ServerFailure.ERROR : null, null);
             }
         }
 
-        private void end(Run run, long millis, FailureKind kind, RetryReason retry) {
+        private void end(Run run, long millis, ServerFailure kind, RetryReason retry) {
             later(index, millis, null, () -> finish(run, kind, retry));
         }
 
         /** Ends a run unless a crash has ended it already. */
-        private void finish(Run run, FailureKind kind, RetryReason retry) {
+        private void finish(Run run, ServerFailure kind, RetryReason retry) {
             if (!running.remove(run.id, run)) {
                 return;
             }
--- a/bench/src/main/java/org/heatherreach/bench/fault/TableWorld.java
+++ b/bench/src/main/java/org/heatherreach/bench/fault/TableWorld.java
@@ -236,7 +236,7 @@
                 .max();
         for (Node node : nodes) {
             if (due.isPresent()
-                    && isSound(node.index, IN_FORCE_MILLIS)
+                    && isFaultFree(node.index, IN_FORCE_MILLIS)
                     && node.table.version() < due.getAsLong()
                     && node.late < due.getAsLong()) {
                 node.late = due.getAsLong();
--- a/coordination/src/main/java/org/heatherreach/coordination/health/DaemonHealth.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/DaemonHealth.java
@@ -34,7 +34,7 @@
     List<HealthAction> complete(long exchange, long nowNanos);
 
     /** Notes that the exchange failed. */
-    List<HealthAction> fail(long exchange, FailureKind kind, long nowNanos);
+    List<HealthAction> fail(long exchange, ServerFailure kind, long nowNanos);
 
     /** Notes that the exchange ended for a reason that says nothing about the server, such as a caller that left. */
     void cancel(long exchange, long nowNanos);
--- a/coordination/src/main/java/org/heatherreach/coordination/health/EvidenceWindow.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/EvidenceWindow.java
@@ -88,10 +88,10 @@
     }
 
     /** Notes that the exchange failed. An exchange that is not open is ignored. */
-    public void fail(long exchange, FailureKind kind, long nowNanos) {
+    public void fail(long exchange, ServerFailure kind, long nowNanos) {
         Exchange open = exchanges.remove(exchange);
         // An exchange must not convict a server alone by being counted as a stall again when it is given up.
-        if (open == null || kind == FailureKind.STALLED && open.stallCounts > 0) {
+        if (open == null || kind == ServerFailure.STALLED && open.stallCounts > 0) {
             return;
         }
         Counts counts = countsOf(open.server);
@@ -103,7 +103,7 @@
             case CONNECT -> counts.connectFailures++;
             default -> throw new IllegalArgumentException("unknown kind " + kind);
         }
-        if (kind != FailureKind.CONNECT) {
+        if (kind != ServerFailure.CONNECT) {
             countLatency(open, nowNanos);
         }
     }
--- a/coordination/src/main/java/org/heatherreach/coordination/health/HealthJudge.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/HealthJudge.java
@@ -59,16 +59,16 @@
     /** With less recent traffic than this a server counts as idle, and probes count for it. */
     private static final double IDLE_REQUESTS = 0.1;
     /**
-     * Zones vouch for a server if their evidence since the pooled score began to rise sums up to this, which is about
-     * five successes. If two zones see the fault, it takes about twelve, as then the server is the likelier cause.
+     * Zones see a server as healthy if their evidence since the pooled score began to rise sums up to this, which is
+     * about five successes. If two zones see the fault, it takes about twelve, as then the server is the likelier cause.
      */
-    private static final double VOUCH_SUM = -1;
+    private static final double HEALTHY_SUM = -1;
 
-    private static final double STRONG_VOUCH_SUM = -2.5;
+    private static final double CLEARLY_HEALTHY_SUM = -2.5;
     /** A zone with a failure has seen the fault unless about ten successes outweigh it. */
     private static final double FAILURE_SEEN_SUM = 1;
     /** A normal latency weighs up to ten times as much as a success, and a slow server has some too. */
-    private static final double LATENCY_VOUCH_FACTOR = 16;
+    private static final double LATENCY_HEALTHY_FACTOR = 16;
 
     /** Below the 30 % of failures to be found; an observer contradicts its peers if it is also thrice theirs. */
     private static final double OUTLIER_RATIO = 0.2;
@@ -388,10 +388,10 @@
 
     /** Ejects for every zone, unless some zone with traffic of its own sees the server as healthy. */
     private boolean judgePooled(ServerRecord known, double limit, List<HealthAction> actions, long nowNanos) {
-        // Normal latencies do not vouch for a server that fails, nor successes for one that is slow.
+        // Normal latencies are no evidence for a server that fails, nor successes for one that is slow.
         boolean failing = known.isMostlyFailing(0);
-        boolean vouched = failing ? isFailureVouched(known) : isLatencyVouched(known, limit);
-        if (!vouched) {
+        boolean seenHealthy = failing ? isSeenSuccessful(known) : isSeenFast(known, limit);
+        if (!seenHealthy) {
             eject(known, 0, actions, nowNanos);
             return true;
         }
@@ -406,24 +406,24 @@
     }
 
     /** Two explanations are compared: a fault of the server, or cuts between it and the zones that see failures. */
-    private static boolean isFailureVouched(ServerRecord known) {
+    private static boolean isSeenSuccessful(ServerRecord known) {
         int bad = 0;
-        double vouch = 0;
+        double successes = 0;
         for (int scope = 1; scope < known.scopes(); scope++) {
             bad += known.failureSum(scope) > FAILURE_SEEN_SUM ? 1 : 0;
-            vouch += Math.min(0, known.failureSum(scope));
+            successes += Math.min(0, known.failureSum(scope));
         }
-        return vouch <= (bad > 1 ? STRONG_VOUCH_SUM : VOUCH_SUM);
+        return successes <= (bad > 1 ? CLEARLY_HEALTHY_SUM : HEALTHY_SUM);
     }
 
-    private static boolean isLatencyVouched(ServerRecord known, double limit) {
+    private static boolean isSeenFast(ServerRecord known, double limit) {
         int bad = 0;
         double least = 0;
         for (int scope = 1; scope < known.scopes(); scope++) {
             bad += known.latencySum(scope) > limit / 4 ? 1 : 0;
             least = Math.min(least, known.latencySum(scope));
         }
-        return least <= LATENCY_VOUCH_FACTOR * (bad > 1 ? STRONG_VOUCH_SUM : VOUCH_SUM);
+        return least <= LATENCY_HEALTHY_FACTOR * (bad > 1 ? CLEARLY_HEALTHY_SUM : HEALTHY_SUM);
     }
 
     private void eject(ServerRecord known, int scope, List<HealthAction> actions, long nowNanos) {
--- a/coordination/src/main/java/org/heatherreach/coordination/health/NaiveHealth.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/NaiveHealth.java
@@ -71,7 +71,7 @@
     }
 
     @Override
-    public List<HealthAction> fail(long exchange, FailureKind kind, long nowNanos) {
+    public List<HealthAction> fail(long exchange, ServerFailure kind, long nowNanos) {
         Exchange ended = exchanges.remove(exchange);
         return ended == null ? List.of() : count(ended.server, true, nowNanos);
     }
--- a/coordination/src/main/java/org/heatherreach/coordination/health/PooledHealth.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/PooledHealth.java
@@ -58,7 +58,7 @@
     }
 
     @Override
-    public List<HealthAction> fail(long exchange, FailureKind kind, long nowNanos) {
+    public List<HealthAction> fail(long exchange, ServerFailure kind, long nowNanos) {
         window.fail(exchange, kind, nowNanos);
         return List.of();
     }
--- a/coordination/src/main/java/org/heatherreach/coordination/health/FailureKind.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/health/ServerFailure.java
@@ -1,7 +1,7 @@
 package org.heatherreach.coordination.health;
 
 /** How an exchange with a backend server failed. Immutable and safe for use by any thread. */
-public enum FailureKind {
+public enum ServerFailure {
     /** The server answered with a server error other than its load-shedding answer, or broke the connection. */
     ERROR,
     /** The response ended before its announced length. */
--- a/coordination/src/test/java/org/heatherreach/coordination/health/EjectionFloorTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/health/EjectionFloorTest.java
@@ -223,7 +223,7 @@
             } else if (step instanceof Fail fail) {
                 DaemonHealth daemon = daemons.get(fail.daemon);
                 for (int i = 0; i < fail.times; i++) {
-                    daemon.fail(daemon.begin(ALL.get(fail.server), nowNanos), FailureKind.ERROR, nowNanos);
+                    daemon.fail(daemon.begin(ALL.get(fail.server), nowNanos), ServerFailure.ERROR, nowNanos);
                 }
             } else if (step instanceof ChangeList change) {
                 Set<ServerId> next = new HashSet<>();
--- a/coordination/src/test/java/org/heatherreach/coordination/health/EvidenceWindowTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/health/EvidenceWindowTest.java
@@ -63,7 +63,7 @@
                     .orElse(0);
         }
         assertThat(stalled).isEqualTo(2);
-        window.fail(open, FailureKind.STALLED, 25_000 * MS);
+        window.fail(open, ServerFailure.STALLED, 25_000 * MS);
         assertThat(window.report(25_001 * MS)).isEmpty();
     }
 
--- a/coordination/src/test/java/org/heatherreach/coordination/health/HealthJudgeTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/health/HealthJudgeTest.java
@@ -57,7 +57,7 @@
 
     // Guards against a few successes in one zone that keep a failing server in use for it, as if links had been cut.
     @Example
-    void fewSuccessesInOneZoneDoNotVouchForAFailingServer() {
+    void fewSuccessesInOneZoneKeepNoFailingServerInUse() {
         run(200, healthy());
         report(1, 3, 1);
         report(2, 5, 0);
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/HealthDuty.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/HealthDuty.java
@@ -26,6 +26,7 @@
 import org.heatherreach.coordination.health.JudgeResult;
 import org.heatherreach.coordination.health.PooledHealth;
 import org.heatherreach.coordination.health.ProbePlan;
+import org.heatherreach.coordination.health.ServerFailure;
 import org.heatherreach.coordination.health.Verdict;
 import org.heatherreach.coordination.health.VerdictList;
 import org.heatherreach.coordination.poison.CrashReport;
@@ -432,17 +433,16 @@
         PooledHealth health = open.health();
         switch (failure) {
             case NONE -> health.complete(open.number(), nowNanos);
-            case ERROR -> fail(open, org.heatherreach.coordination.health.FailureKind.ERROR, nowNanos);
-            case TRUNCATED -> fail(open, org.heatherreach.coordination.health.FailureKind.TRUNCATED, nowNanos);
-            case STALLED -> fail(open, org.heatherreach.coordination.health.FailureKind.STALLED, nowNanos);
-            case CONNECT -> fail(open, org.heatherreach.coordination.health.FailureKind.CONNECT, nowNanos);
+            case ERROR -> fail(open, ServerFailure.ERROR, nowNanos);
+            case TRUNCATED -> fail(open, ServerFailure.TRUNCATED, nowNanos);
+            case STALLED -> fail(open, ServerFailure.STALLED, nowNanos);
+            case CONNECT -> fail(open, ServerFailure.CONNECT, nowNanos);
             // A shed request was not run, so its short latency says nothing about the speed of the server.
             default -> health.cancel(open.number(), nowNanos);
         }
     }
 
-    private static void fail(
-            HealthService.Open open, org.heatherreach.coordination.health.FailureKind kind, long nowNanos) {
+    private static void fail(HealthService.Open open, ServerFailure kind, long nowNanos) {
         open.health().fail(open.number(), kind, nowNanos);
     }
 
