Give the daemons of the fault matrix one interface

Cause: the three worlds of the fault matrix each forwarded the start and the tick of a daemon by its index, and two paused a daemon for a time by the same two lines. Change: FaultNode is the daemon of a world, and FaultWorld.pauseFor pauses it. No behaviour changes.

--- a/bench/src/main/java/org/heatherreach/bench/fault/FaultWorld.java
+++ b/bench/src/main/java/org/heatherreach/bench/fault/FaultWorld.java
@@ -80,11 +80,8 @@
     /** Runs the whole scenario with its checks. */
     abstract void run();
 
-    /** Makes the decision objects of a new process. */
-    abstract void startProcess(int node);
-
-    /** Called every 100 ms for each daemon that runs. */
-    abstract void tick(int node);
+    /** Returns the daemon with an index. */
+    abstract FaultNode node(int index);
 
     /** Returns the daemons that a fault may strike, with those first that matter most for the promise. */
     abstract List<Integer> victims();
@@ -256,7 +253,7 @@
         buffers.get(node).clear();
         up[node] = true;
         faultFreeSinceNanos[node] = nowNanos;
-        startProcess(node);
+        node(node).start();
         scheduleTick(node, 1 + random.nextInt(TICK_MILLIS));
     }
 
@@ -265,7 +262,7 @@
         after(millis, () -> {
             if (up[node] && generations[node] == generation) {
                 if (!paused[node]) {
-                    tick(node);
+                    node(node).tick();
                 }
                 scheduleTick(node, TICK_MILLIS);
             }
@@ -367,6 +364,12 @@
         throw notApplicable();
     }
 
+    /** Pauses a daemon and resumes it after a time. */
+    void pauseFor(int victim, long millis) {
+        pause(victim);
+        after(millis, () -> resume(victim));
+    }
+
     void delayVmList(int victim) {
         throw notApplicable();
     }
--- a/bench/src/main/java/org/heatherreach/bench/fault/KeyedWorld.java
+++ b/bench/src/main/java/org/heatherreach/bench/fault/KeyedWorld.java
@@ -130,19 +130,13 @@
     }
 
     @Override
-    void startProcess(int node) {
-        nodes.get(node).start();
-    }
-
-    @Override
-    void tick(int node) {
-        nodes.get(node).tick();
+    FaultNode node(int index) {
+        return nodes.get(index);
     }
 
     @Override
     void lapse(int victim) {
-        pause(victim);
-        after(TimeUnit.NANOSECONDS.toMillis(LIMITS.activityNanos()) + 50, () -> resume(victim));
+        pauseFor(victim, TimeUnit.NANOSECONDS.toMillis(LIMITS.activityNanos()) + 50);
     }
 
     @Override
@@ -298,7 +292,7 @@
     }
 
     /** One daemon. */
-    private final class Node {
+    private final class Node implements FaultNode {
         private final int index;
         private final Set<RequestId> forwarded = new HashSet<>();
         private Member self;
@@ -311,7 +305,8 @@
             this.index = index;
         }
 
-        private void start() {
+        @Override
+        public void start() {
             self = new Member(
                     new DaemonId("daemon-" + index),
                     new IncarnationId(random.nextLong() | 1),
@@ -333,7 +328,8 @@
             return issuer.issue(view(), nowNanos).orElseThrow();
         }
 
-        private void tick() {
+        @Override
+        public void tick() {
             boolean heard = IntStream.range(0, DAEMONS)
                     .anyMatch(peer -> peer != index && isRunning(peer) && !isCut(index, peer) && !isCut(peer, index));
             if (heard) {
--- a/bench/src/main/java/org/heatherreach/bench/fault/SlotWorld.java
+++ b/bench/src/main/java/org/heatherreach/bench/fault/SlotWorld.java
@@ -161,19 +161,13 @@
     }
 
     @Override
-    void startProcess(int node) {
-        nodes.get(node).start();
-    }
-
-    @Override
-    void tick(int node) {
-        nodes.get(node).tick();
+    FaultNode node(int index) {
+        return nodes.get(index);
     }
 
     @Override
     void lapse(int victim) {
-        pause(victim);
-        after(SlotLedger.LEASE_NANOS / MILLIS + random.nextInt(400), () -> resume(victim));
+        pauseFor(victim, SlotLedger.LEASE_NANOS / MILLIS + random.nextInt(400));
     }
 
     /** One server is leaving, and only half of the daemons learn it in time. */
@@ -292,7 +286,7 @@
     }
 
     /** One daemon. */
-    private final class Node {
+    private final class Node implements FaultNode {
         private final int index;
         private final ZoneId zone;
         private final Map<RequestId, Run> running = new LinkedHashMap<>();
@@ -314,7 +308,8 @@
             zone = new ZoneId("z" + index % 3);
         }
 
-        private void start() {
+        @Override
+        public void start() {
             process++;
             incarnation = new IncarnationId(random.nextLong() | 1);
             Random own = new Random(incarnation.value());
@@ -333,7 +328,8 @@
             updateServers();
         }
 
-        private void tick() {
+        @Override
+        public void tick() {
             for (int peer = 0; peer < DAEMONS; peer++) {
                 boolean answers = isRunning(peer) && !isCut(index, peer) && !isCut(peer, index);
                 if (peer == index || answers) {
--- a/bench/src/main/java/org/heatherreach/bench/fault/TableWorld.java
+++ b/bench/src/main/java/org/heatherreach/bench/fault/TableWorld.java
@@ -137,13 +137,8 @@
     }
 
     @Override
-    void startProcess(int node) {
-        nodes.get(node).start();
-    }
-
-    @Override
-    void tick(int node) {
-        nodes.get(node).tick();
+    FaultNode node(int index) {
+        return nodes.get(index);
     }
 
     @Override
@@ -349,7 +344,7 @@
     }
 
     /** One daemon. */
-    private final class Node {
+    private final class Node implements FaultNode {
         private final int index;
         private Membership members;
         private TableDistribution table;
@@ -364,7 +359,8 @@
             this.index = index;
         }
 
-        private void start() {
+        @Override
+        public void start() {
             long incarnation = random.nextLong() | 1;
             Member self = new Member(
                     new DaemonId("daemon-" + index),
@@ -392,7 +388,8 @@
             late = 0;
         }
 
-        private void tick() {
+        @Override
+        public void tick() {
             perform(members.tick(nowNanos));
             apply(table.tick(nowNanos));
             if (table instanceof TableSpread spread) {
