Let FleetChanges keep whether a refresh is wanted

Cause: the health duty and the schedule duty each had the same flag, the same listeners of members and servers, and the same offer to their ring. Change: FleetChanges listens and keeps the flag; each duty only offers the refresh to its ring. No behaviour changes.

--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/FleetChanges.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/FleetChanges.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.vavr.control.Option;
 import org.heatherreach.state.id.ServiceId;
@@ -13,26 +14,54 @@
 
 /**
  * The newest members, servers and table, compared with those that one duty has seen before. Every change is found even
- * if its announcement was lost.
+ * if its announcement was lost: the next tick of the duty finds that a refresh is wanted.
  *
- * <p>Thread safety: {@link #changeTable} is safe for use by any thread; the rest is confined to the duty thread.
+ * <p>Thread safety: {@link #changeTable}, {@link #listen} and {@link #wantRefresh} are safe for use by any thread; the rest
+ * is confined to the duty thread.
  */
 final class FleetChanges {
     private final MemberDirectory members;
     private final ServerDirectory servers;
     private final PartOwners owners;
+    private final Runnable offerRefresh;
+    private final AtomicBoolean refreshWanted = new AtomicBoolean();
     private volatile Table newestTable;
     private Table table;
     private Map<ServiceId, List<ListedServer>> listed = Map.of();
 
-    FleetChanges(MemberDirectory members, ServerDirectory servers) {
+    /**
+     * Creates changes that were not looked at.
+     *
+     * @param offerRefresh asks the duty for a refresh; may be lost
+     */
+    FleetChanges(MemberDirectory members, ServerDirectory servers, Runnable offerRefresh) {
         this.members = Objects.requireNonNull(members, "members");
         this.servers = Objects.requireNonNull(servers, "servers");
+        this.offerRefresh = Objects.requireNonNull(offerRefresh, "offerRefresh");
         this.owners = new PartOwners(members.self());
     }
 
+    /** Wants a refresh now and after each change of members and servers. */
+    void listen() {
+        members.addListener((member, view) -> wantRefresh());
+        servers.addListener(lists -> wantRefresh());
+        wantRefresh();
+    }
+
     void changeTable(Table newTable) {
         newestTable = Objects.requireNonNull(newTable, "newTable");
+        wantRefresh();
+    }
+
+    void wantRefresh() {
+        if (refreshWanted.compareAndSet(false, true)) {
+            offerRefresh.run();
+        }
+    }
+
+    /** Returns whether a refresh is wanted, and takes the wish as met. */
+    boolean takeWanted() {
+        return refreshWanted.getAndSet(false);
     }
 
     /**
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/HealthDuty.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/HealthDuty.java
@@ -15,7 +15,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 
 import io.micrometer.core.instrument.Counter;
@@ -91,7 +90,6 @@
     private final PartOwners owners;
     private final Map<ServiceId, HealthService> services = new HashMap<>();
     private final Set<ServiceId> dirty = new LinkedHashSet<>();
-    private final AtomicBoolean refreshWanted = new AtomicBoolean();
     private final Map<ServiceId, List<ServerStatus>> status = new ConcurrentSkipListMap<>();
     private final Counter strayMessages;
     private final CrashTracker crashes;
@@ -130,7 +128,7 @@
         this.listener = Objects.requireNonNull(listener, "listener");
         this.random = Objects.requireNonNull(random, "random");
         this.registry = Objects.requireNonNull(registry, "registry");
-        this.changes = new FleetChanges(members, servers);
+        this.changes = new FleetChanges(members, servers, this::offerRefresh);
         this.owners = changes.owners();
         this.ring = new DutyRing<>(
                 "health", ringCapacity, task -> task.run(System.nanoTime()), this::tick, TICK_NANOS, registry);
@@ -159,9 +157,7 @@
 
     /** Starts the thread and listens for changes of members and servers. */
     public void start() {
-        members.addListener((member, view) -> wantRefresh());
-        servers.addListener(lists -> wantRefresh());
-        wantRefresh();
+        changes.listen();
         ring.start();
     }
 
@@ -191,7 +187,6 @@
     /** Puts a table in force. */
     public void changeTable(Table newTable) {
         changes.changeTable(newTable);
-        wantRefresh();
     }
 
     /** Returns what is known about each listed server, by service. */
@@ -242,11 +237,8 @@
         return names.stream().filter(name -> !name.isBlank()).map(ServerId::new).toList();
     }
 
-    private void wantRefresh() {
-        if (refreshWanted.compareAndSet(false, true)) {
-            // If the ring is full, the next tick finds the flag.
-            ring.offer(this::refresh);
-        }
+    private void offerRefresh() {
+        ring.offer(this::refresh);
     }
 
     private void tick(long nowNanos) {
@@ -509,7 +501,7 @@
     }
 
     private void refresh(long nowNanos) {
-        if (refreshWanted.getAndSet(false) && changes.collect(services.keySet(), dirty)) {
+        if (changes.takeWanted() && changes.collect(services.keySet(), dirty)) {
             ZoneId zone = members.self().zone();
             probePlan = new ProbePlan(owners.liveZones().entrySet().stream()
                     .filter(entry -> entry.getValue().equals(zone))
--- a/daemon/src/main/java/org/heatherreach/daemon/fleet/ScheduleDuty.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/fleet/ScheduleDuty.java
@@ -14,7 +14,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
@@ -96,7 +95,6 @@
     private final Queue<Runnable> ownMessages = new ArrayDeque<>();
     private final Map<ServiceId, Map<ServerId, Integer>> newestShares = new ConcurrentHashMap<>();
     private final Set<ServiceId> changedShares = ConcurrentHashMap.newKeySet();
-    private final AtomicBoolean refreshWanted = new AtomicBoolean();
     private final Counter leasedDispatches;
     private final Counter queuedDispatches;
     private final Counter localDispatches;
@@ -127,7 +125,7 @@
         this.sender = new PeerSender(members, links, registry);
         this.random = Objects.requireNonNull(random, "random");
         this.hint = new RetryHint(random);
-        this.changes = new FleetChanges(members, servers);
+        this.changes = new FleetChanges(members, servers, this::offerRefresh);
         this.owners = changes.owners();
         this.ring = new DutyRing<>("schedule", ringCapacity, this::handle, this::tick, IDLE_TICK_NANOS, registry);
         leasedDispatches = registry.counter("heatherreach.slots.dispatched", "slot", "leased");
@@ -140,9 +138,7 @@
 
     /** Starts the thread and listens for changes of members and servers. */
     public void start() {
-        members.addListener((member, view) -> wantRefresh());
-        servers.addListener(lists -> wantRefresh());
-        wantRefresh();
+        changes.listen();
         ring.start();
     }
 
@@ -194,14 +190,13 @@
     /** Puts a table in force. */
     public void changeTable(Table newTable) {
         changes.changeTable(newTable);
-        wantRefresh();
     }
 
     @Override
     public void changeShares(ServiceId service, Map<ServerId, Integer> sharePercents) {
         newestShares.put(service, Map.copyOf(sharePercents));
         changedShares.add(service);
-        wantRefresh();
+        changes.wantRefresh();
     }
 
     @Override
@@ -220,11 +215,8 @@
         return new IncarnationId(frame.getSender());
     }
 
-    private void wantRefresh() {
-        if (refreshWanted.compareAndSet(false, true)) {
-            // If the ring is full, the next tick finds the flag.
-            ring.offer(new Task(this::refresh));
-        }
+    private void offerRefresh() {
+        ring.offer(new Task(this::refresh));
     }
 
     private void handle(Event event) {
@@ -458,7 +450,7 @@
     }
 
     private void refresh(long nowNanos) {
-        if (refreshWanted.getAndSet(false)) {
+        if (changes.takeWanted()) {
             collectChanges();
         }
         if (dirty.isEmpty()) {
