Write the parts of a request path once in the tests

Cause: ProxyFixture named the twelve parts in each of four methods that replace one of them, and two tests had the same server that never answers. Change: one copy method and one start method. No check was changed.

--- a/transport/src/test/java/org/heatherreach/transport/http/ProxyFaultsTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/ProxyFaultsTest.java
@@ -28,6 +28,18 @@
         return true;
     }
 
+    /** Starts a request path before a server that never answers and says when a request arrives and is cancelled. */
+    private static ProxyFixture startHanging(CountDownLatch arrived, CountDownLatch cancelled) throws IOException {
+        return new ProxyFixture()
+                .backend(call -> {
+                    arrived.countDown();
+                    call.awaitClose();
+                    cancelled.countDown();
+                    return false;
+                })
+                .start();
+    }
+
     private static ProxyLimits shortLimits() {
         return new ProxyLimits(2048, 100_000, 1024, 50_000, 60, 60, 500, 60_000, 3, 1000);
     }
@@ -233,14 +245,7 @@
     void cancelsAtTheServerWhenTheCallerDisconnects() throws Exception {
         CountDownLatch arrived = new CountDownLatch(1);
         CountDownLatch cancelled = new CountDownLatch(1);
-        try (ProxyFixture fixture = new ProxyFixture()
-                .backend(call -> {
-                    arrived.countDown();
-                    call.awaitClose();
-                    cancelled.countDown();
-                    return false;
-                })
-                .start()) {
+        try (ProxyFixture fixture = startHanging(arrived, cancelled)) {
             RawCaller caller = fixture.caller();
             caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
             arrived.await();
@@ -256,14 +261,7 @@
     void treatsAHalfClosedCallerAsGone() throws Exception {
         CountDownLatch arrived = new CountDownLatch(1);
         CountDownLatch cancelled = new CountDownLatch(1);
-        try (ProxyFixture fixture = new ProxyFixture()
-                        .backend(call -> {
-                            arrived.countDown();
-                            call.awaitClose();
-                            cancelled.countDown();
-                            return false;
-                        })
-                        .start();
+        try (ProxyFixture fixture = startHanging(arrived, cancelled);
                 RawCaller caller = fixture.caller()) {
             caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
             arrived.await();
--- a/transport/src/test/java/org/heatherreach/transport/http/ProxyFixture.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/ProxyFixture.java
@@ -93,64 +93,38 @@
         return new BackendServer(new ServerId(id), address, new ZoneId("z1"));
     }
 
-    /** Returns limits with short times, for tests that wait for them. */
+    /** Returns parts with other limits, such as short times for tests that wait for them. */
     static ProxyParts withLimits(ProxyParts parts, ProxyLimits limits) {
-        return new ProxyParts(
-                parts.mode(),
-                limits,
-                parts.gate(),
-                parts.catalog(),
-                parts.scheduler(),
-                parts.keyed(),
-                parts.observer(),
-                parts.crashFilter(),
-                parts.meters(),
-                parts.incarnation(),
-                parts.requestIds(),
-                parts.history());
+        return copy(parts, parts.mode(), limits, parts.keyed(), parts.observer(), parts.crashFilter());
     }
 
     /** Returns parts in another mode, such as the naive one. */
     static ProxyParts withMode(ProxyParts parts, ProxyMode mode) {
-        return new ProxyParts(
-                mode,
-                parts.limits(),
-                parts.gate(),
-                parts.catalog(),
-                parts.scheduler(),
-                parts.keyed(),
-                parts.observer(),
-                parts.crashFilter(),
-                parts.meters(),
-                parts.incarnation(),
-                parts.requestIds(),
-                parts.history());
+        return copy(parts, mode, parts.limits(), parts.keyed(), parts.observer(), parts.crashFilter());
     }
 
     static ProxyParts withKeyed(ProxyParts parts, KeyedExecution keyed) {
-        return new ProxyParts(
-                parts.mode(),
-                parts.limits(),
-                parts.gate(),
-                parts.catalog(),
-                parts.scheduler(),
-                Option.of(keyed),
-                parts.observer(),
-                parts.crashFilter(),
-                parts.meters(),
-                parts.incarnation(),
-                parts.requestIds(),
-                parts.history());
+        return copy(parts, parts.mode(), parts.limits(), Option.of(keyed), parts.observer(), parts.crashFilter());
     }
 
     static ProxyParts withObserver(ProxyParts parts, ExchangeObserver observer, CrashFilter filter) {
+        return copy(parts, parts.mode(), parts.limits(), parts.keyed(), observer, filter);
+    }
+
+    private static ProxyParts copy(
+            ProxyParts parts,
+            ProxyMode mode,
+            ProxyLimits limits,
+            Option<KeyedExecution> keyed,
+            ExchangeObserver observer,
+            CrashFilter filter) {
         return new ProxyParts(
-                parts.mode(),
-                parts.limits(),
+                mode,
+                limits,
                 parts.gate(),
                 parts.catalog(),
                 parts.scheduler(),
-                parts.keyed(),
+                keyed,
                 observer,
                 filter,
                 parts.meters(),
