Move the addresses of first contacts out of MemberList

Cause: MemberList walked seeds and VM list with a position of its own among the state of failure detection. Change: ContactList holds the addresses and the walk. No behaviour changes: the random draws are in the same order.

--- a/coordination/src/main/java/org/heatherreach/coordination/member/MemberList.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/member/MemberList.java
@@ -36,16 +36,13 @@
 public final class MemberList implements Membership {
     private static final long SYNC_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     private static final long SUSPICION_NOTICE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-    /** Addresses that one contact looks at; bounds its cost at about 20 us. A longer list is walked in parts. */
-    private static final int CONTACT_SCAN = 1_024;
-
     /** Draws for one kind of helper; in a fleet of three equal zones all miss one of them once in 16,000 times. */
     private static final int HELPER_DRAWS = 24;
 
     private static final long RELAY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final MemberSettings settings;
-    private final List<MemberAddress> seeds;
+    private final ContactList contacts;
     private final RandomGenerator random;
     private final TreeMap<IncarnationId, Entry> entries = new TreeMap<>();
     private final Map<MemberAddress, Entry> byAddress = new HashMap<>();
@@ -56,7 +53,6 @@
     private final Map<IncarnationId, Entry> deadMembers = new LinkedHashMap<>();
     private final Map<Long, Relay> relays = new HashMap<>();
     private final UpdateQueue queue = new UpdateQueue();
-    private List<MemberAddress> listed = List.of();
     private Member self;
     private MemberView view;
     private long sequence;
@@ -76,7 +72,6 @@
     private long lastHeardNanos;
     private long nextPingNanos;
     private long nextContactNanos;
-    private int contactPosition = -1;
     private boolean pushDue;
     private double pushTokens = MemberSettings.PUSH_BURST;
     private long pushRefilledNanos;
@@ -104,7 +99,7 @@
         this.settings = Objects.requireNonNull(settings, "settings");
         this.self = Objects.requireNonNull(self, "self");
         this.random = Objects.requireNonNull(random, "random");
-        this.seeds = List.copyOf(seeds);
+        this.contacts = new ContactList(seeds, random);
         if (self.state() != MemberState.ALIVE) {
             throw new IllegalArgumentException("a daemon starts alive");
         }
@@ -159,7 +154,7 @@
 
     @Override
     public void listed(Collection<MemberAddress> addresses) {
-        listed = List.copyOf(addresses);
+        contacts.updateListed(addresses);
     }
 
     @Override
@@ -568,26 +563,15 @@
     }
 
     private void contact(long nowNanos, List<MemberAction> actions) {
-        if (nowNanos - nextContactNanos < 0 || seeds.isEmpty() && listed.isEmpty()) {
+        if (nowNanos - nextContactNanos < 0 || contacts.isEmpty()) {
             return;
         }
         boolean alone = reachable.isEmpty();
         nextContactNanos = nowNanos + (alone ? settings.pingIntervalNanos() : settings.contactIntervalNanos());
         int wanted = alone ? MemberSettings.HELPERS : 1;
-        int addresses = seeds.size() + listed.size();
-        if (contactPosition < 0) {
-            // Daemons that miss the same members don't all contact the same one first.
-            contactPosition = random.nextInt(addresses);
-        }
-        for (int i = Math.min(addresses, CONTACT_SCAN); i > 0 && wanted > 0; i--) {
-            contactPosition = (contactPosition + 1) % addresses;
-            MemberAddress address = contactPosition < seeds.size()
-                    ? seeds.get(contactPosition)
-                    : listed.get(contactPosition - seeds.size());
-            if (!address.equals(self.address()) && !byAddress.containsKey(address)) {
-                actions.add(send(address, MemberPacket.Kind.PING, ++sequence, 0, 0));
-                wanted--;
-            }
+        for (MemberAddress address :
+                contacts.next(wanted, other -> !other.equals(self.address()) && !byAddress.containsKey(other))) {
+            actions.add(send(address, MemberPacket.Kind.PING, ++sequence, 0, 0));
         }
     }
 
@@ -694,7 +678,7 @@
 
     private void enqueue(Member update) {
         // A daemon that has just started knows few members, but the VM list tells how many there will be.
-        int bits = 32 - Integer.numberOfLeadingZeros(Math.max(reachable.size(), listed.size()) + 1);
+        int bits = 32 - Integer.numberOfLeadingZeros(Math.max(reachable.size(), contacts.listedSize()) + 1);
         queue.add(update, 2 * bits);
         pushDue = true;
     }
