Count every key of the quickstart in its outcome

Cause: the line of the bookings named answered, not run and unknown keys, but not those whose server answered with an error, so that 330 keys had 329 outcomes. Change: server errors are printed as well. Whether the trial passes is judged as before.

--- a/bench/src/main/java/org/heatherreach/bench/trial/QuickstartMain.java
+++ b/bench/src/main/java/org/heatherreach/bench/trial/QuickstartMain.java
@@ -91,9 +91,10 @@
             served &= result.count(rank, TrialAnswer.Kind.RIGHT) > 0;
         }
         System.out.printf(
-                "bookings  %d keys: %d answered, %d not-run, %d unknown or broken%n",
+                "bookings  %d keys: %d answered, %d server errors, %d not-run, %d unknown or broken%n",
                 bookings.size(),
                 bookings.count(TrialAnswer.Kind.RIGHT),
+                bookings.count(TrialAnswer.Kind.BACKEND_ERROR),
                 bookings.count(TrialAnswer.Kind.NOT_RUN),
                 bookings.count(TrialAnswer.Kind.UNKNOWN) + bookings.count(TrialAnswer.Kind.BROKEN));
         brokenPromises.forEach(System.out::println);
