--- /dev/null
+++ b/daemon/src/test/java/org/heatherreach/daemon/fleet/FleetProcessTest.java
@@ -0,0 +1,291 @@
+package org.heatherreach.daemon.fleet;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.heatherreach.daemon.fleet.ProcessFleet.Answer;
+import org.heatherreach.daemon.fleet.ProcessFleet.Kind;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+// Real processes under load: daemons that are killed, paused and stopped, and a store that is killed and started again.
+class FleetProcessTest {
+    private static final int COUNT = 3;
+    private static final Set<Kind> COMPLETE_OR_HONEST = EnumSet.of(Kind.RIGHT, Kind.NOT_RUN, Kind.UNKNOWN);
+
+    private final AtomicInteger numbers = new AtomicInteger();
+    private final ExecutorService callers = Executors.newCachedThreadPool();
+    private ProcessFleet fleet;
+
+    @AfterTry
+    void end() {
+        callers.shutdownNow();
+        if (fleet != null) {
+            fleet.close();
+        }
+    }
+
+    // Two faults share a fleet, since starting its processes takes longer than either of them.
+    @Example
+    void daemonsThatPauseOrDieAreReplaced() throws Exception {
+        fleet = new ProcessFleet(COUNT);
+        pausedOwnerHoldsUpNobodyAndComesBack();
+        survivorsOfAKilledDaemonServeEverything();
+    }
+
+    @Example
+    void lostStoreAndPlannedStopCutOffNothing() throws Exception {
+        fleet = new ProcessFleet(COUNT);
+        storeOutageStopsChangesOnly();
+        stoppedDaemonFinishesEveryRequest();
+    }
+
+    // Guards against answers of others or cut ones, second runs of a key after resends, and slots that stay with a
+    // killed owner.
+    private void survivorsOfAKilledDaemonServeEverything() throws Exception {
+        int victim = fleet.owner();
+        List<Integer> survivors = othersThan(victim);
+        String running = fleet.issueKey(victim);
+        String unsent = fleet.issueKey(victim);
+        List<String> keys = new ArrayList<>();
+        for (int i = 0; i < 24; i++) {
+            keys.add(fleet.issueKey(victim));
+        }
+        Queue<Answer> answers = new ConcurrentLinkedQueue<>();
+        Map<String, Answer> lastAnswers = new ConcurrentHashMap<>();
+        Future<Answer> cut = callers.submit(() -> fleet.book(victim, running, 5_000));
+        fleet.await("the booking runs", () -> fleet.runs(running) == 1);
+        List<Callable<Void>> tasks = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            tasks.add(() -> {
+                for (int request = 0; request < 40; request++) {
+                    answers.add(look(request % COUNT, request % 10 == 0 ? 400_000 : 300));
+                }
+                return null;
+            });
+            List<String> own = keys.subList(i * 8, i * 8 + 8);
+            tasks.add(() -> {
+                own.forEach(key -> lastAnswers.put(key, bookUntilAnswered(victim, survivors, key)));
+                return null;
+            });
+        }
+        List<Future<Void>> load = tasks.stream().map(callers::submit).toList();
+        fleet.await("requests of each kind were answered", () -> answers.size() >= 30 && lastAnswers.size() >= 3);
+        fleet.signal(victim, "KILL");
+        finish(load);
+        assertThat(cut.get().kind()).isEqualTo(Kind.BROKEN);
+        assertThat(answers)
+                .allMatch(answer -> COMPLETE_OR_HONEST.contains(answer.kind())
+                        || answer.kind() == Kind.BROKEN && answer.daemon() == victim);
+        fleet.await("the daemon is forgotten", () -> knowOnlyThemselves(survivors));
+        Answer again = fleet.book(survivors.get(0), running, 5_000);
+        assertThat(again.kind()).as(again.toString()).isEqualTo(Kind.UNKNOWN);
+        for (int survivor : survivors) {
+            Answer barred = fleet.book(survivor, unsent, 20);
+            assertThat(barred.kind()).as(barred.toString()).isEqualTo(Kind.NOT_RUN);
+        }
+        assertServed(survivors, 40);
+        List<Future<Answer>> slow = IntStream.range(0, 4 * ProcessFleet.SLOTS)
+                .mapToObj(i -> callers.submit(() -> fleet.look(survivors.get(i % 2), path(1_500, 300))))
+                .toList();
+        fleet.await("the survivors use every slot", () -> fleet.slotsInUse() == 2 * ProcessFleet.SLOTS);
+        for (Future<Answer> answer : slow) {
+            assertThat(answer.get().kind()).as(answer.get().toString()).isEqualTo(Kind.RIGHT);
+        }
+        assertThat(fleet.runs(running)).isEqualTo(1);
+        assertThat(fleet.runs(unsent)).isZero();
+        for (String key : keys) {
+            Answer last = lastAnswers.get(key);
+            assertThat(last.kind()).as(last.toString()).isIn(COMPLETE_OR_HONEST);
+            assertThat(fleet.runs(key))
+                    .as(last.toString())
+                    .isLessThanOrEqualTo(last.kind() == Kind.NOT_RUN ? 0 : 1)
+                    .isGreaterThanOrEqualTo(last.kind() == Kind.RIGHT ? 1 : 0);
+        }
+        assertThat(lastAnswers.values()).anyMatch(answer -> answer.kind() == Kind.RIGHT);
+    }
+
+    // Guards against a paused owner that holds up the others, or that runs or answers wrongly what it held.
+    private void pausedOwnerHoldsUpNobodyAndComesBack() throws Exception {
+        int owner = fleet.owner();
+        List<Integer> others = othersThan(owner);
+        String key = fleet.issueKey(owner);
+        Queue<Answer> answers = new ConcurrentLinkedQueue<>();
+        Future<Answer> running = callers.submit(() -> fleet.book(owner, key, 1_000));
+        fleet.await("the booking runs", () -> fleet.runs(key) == 1);
+        List<Future<Void>> load = new ArrayList<>();
+        for (int daemon : others) {
+            load.add(callers.submit(() -> {
+                for (int request = 0; request < 50; request++) {
+                    answers.add(look(daemon, 300));
+                }
+                return null;
+            }));
+        }
+        fleet.signal(owner, "STOP");
+        List<Future<Answer>> held = IntStream.range(0, 4)
+                .mapToObj(i -> callers.submit(() -> look(owner, 300)))
+                .toList();
+        finish(load);
+        assertThat(answers).allMatch(answer -> COMPLETE_OR_HONEST.contains(answer.kind()));
+        fleet.await("the owner is forgotten", () -> knowOnlyThemselves(others));
+        assertServed(others, 40);
+        assertThat(fleet.book(others.get(0), key, 1_000).kind()).isEqualTo(Kind.UNKNOWN);
+        fleet.signal(owner, "CONT");
+        assertThat(running.get().kind()).as(running.get().toString()).isEqualTo(Kind.RIGHT);
+        for (Future<Answer> answer : held) {
+            assertThat(answer.get().kind()).as(answer.get().toString()).isIn(COMPLETE_OR_HONEST);
+        }
+        fleet.await("the owner is back", () -> fleet.everyDaemon(i -> fleet.members(i) == COUNT));
+        fleet.await("the owner serves", () -> look(owner, 300).kind() == Kind.RIGHT);
+        assertServed(List.of(0, 1, 2), 60);
+        fleet.await(
+                "the booking is answered by its record",
+                () -> fleet.book(others.get(0), key, 1_000).kind() == Kind.RIGHT);
+        assertThat(fleet.runs(key)).isEqualTo(1);
+    }
+
+    // Guards against a planned stop that cuts off or refuses what callers sent before they could know of it.
+    private void stoppedDaemonFinishesEveryRequest() throws Exception {
+        int leaving = fleet.owner();
+        List<Integer> others = othersThan(leaving);
+        String key = fleet.issueKey(leaving);
+        AtomicBoolean announced = new AtomicBoolean();
+        Queue<Answer> answers = new ConcurrentLinkedQueue<>();
+        Future<Answer> running = callers.submit(() -> fleet.book(leaving, key, 3_500));
+        fleet.await("the booking runs", () -> fleet.runs(key) == 1);
+        List<Future<Void>> load = new ArrayList<>();
+        for (int caller = 0; caller < 4; caller++) {
+            int other = others.get(caller % 2);
+            load.add(callers.submit(() -> {
+                for (int request = 0; request < 30; request++) {
+                    int sizeBytes = request % 5 == 0 ? 1_000_000 : 300;
+                    answers.add(look(announced.get() ? other : leaving, sizeBytes));
+                }
+                return null;
+            }));
+        }
+        fleet.await("requests were answered", () -> answers.size() >= 8);
+        fleet.signal(leaving, "TERM");
+        fleet.await("the departure is known", () -> !"serving".equals(fleet.state(leaving)));
+        announced.set(true);
+        finish(load);
+        assertThat(answers).allMatch(answer -> answer.kind() == Kind.RIGHT);
+        assertThat(running.get().kind()).as(running.get().toString()).isEqualTo(Kind.RIGHT);
+        fleet.await("the process ends", () -> !fleet.daemon(leaving).isAlive());
+        assertThat(fleet.daemon(leaving).exitValue()).isZero();
+        fleet.await("the others know", () -> knowOnlyThemselves(others));
+        assertServed(others, 20);
+    }
+
+    // Guards against requests that need the store, a change that is accepted without it, and a daemon that starts
+    // without it and serves an old table or none.
+    private void storeOutageStopsChangesOnly() throws Exception {
+        long first = fleet.tableVersion(0);
+        String change = "apply " + fleet.table("second", "route:/routed,,,,,,,,," + ProcessFleet.SERVICE + ",\n")
+                + " --base " + first;
+        List<Future<Void>> load = new ArrayList<>();
+        Queue<Answer> answers = new ConcurrentLinkedQueue<>();
+        AtomicBoolean refused = new AtomicBoolean();
+        for (int i = 0; i < COUNT; i++) {
+            int daemon = i;
+            load.add(callers.submit(() -> {
+                for (int request = 0; request < 60 && !refused.get(); request++) {
+                    answers.add(fleet.look(daemon, path(100, 300)));
+                }
+                return null;
+            }));
+        }
+        fleet.await("requests were answered", () -> answers.size() >= 6);
+        fleet.killStore();
+        // Exit code 3: the store does not answer, and nothing was changed.
+        assertThat(fleet.tool(change)).isEqualTo(3);
+        refused.set(true);
+        finish(load);
+        assertThat(answers).allMatch(answer -> answer.kind() == Kind.RIGHT);
+        int late = fleet.startDaemon();
+        fleet.await(
+                "the new daemon has the table of its peers",
+                () -> fleet.everyDaemon(i -> fleet.members(i) == COUNT + 1 && fleet.tableVersion(i) == first));
+        assertServed(List.of(0, 1, 2, late), 40);
+        assertThat(fleet.look(0, "/routed/1?service_ms=5").reason()).isEqualTo("unknown-service");
+        fleet.startStore();
+        // Exit code 0: accepted and in force everywhere.
+        assertThat(fleet.tool(change)).isZero();
+        long second = fleet.tableVersion(0);
+        assertThat(second).isGreaterThan(first);
+        for (int daemon = 0; daemon <= COUNT; daemon++) {
+            assertThat(fleet.tableVersion(daemon)).isEqualTo(second);
+            Answer routed = fleet.look(daemon, "/routed/1?service_ms=5");
+            assertThat(routed.kind()).as(routed.toString()).isEqualTo(Kind.RIGHT);
+        }
+    }
+
+    private Answer look(int daemon, int sizeBytes) {
+        return fleet.look(daemon, path(10, sizeBytes));
+    }
+
+    private String path(int serviceMillis, int sizeBytes) {
+        return "/work/" + numbers.incrementAndGet() + "?service_ms=" + serviceMillis + "&size=" + sizeBytes;
+    }
+
+    /** Sends a booking to its executor and then to the others in turn; returns the last answer. */
+    private Answer bookUntilAnswered(int executor, List<Integer> others, String key) {
+        Answer answer = fleet.book(executor, key, 20);
+        for (int send = 0; send < 4 && answer.kind() != Kind.RIGHT; send++) {
+            answer = fleet.book(others.get(send % 2), key, 20);
+        }
+        return answer;
+    }
+
+    /** Sends look-ups to the daemons in turn, four at a time, and requires the whole own answer to each. */
+    private void assertServed(List<Integer> daemons, int count) throws Exception {
+        List<Future<Void>> load = new ArrayList<>();
+        for (int caller = 0; caller < 4; caller++) {
+            int offset = caller;
+            load.add(callers.submit(() -> {
+                for (int i = offset; i < count; i += 4) {
+                    Answer answer = look(daemons.get((i / 4 + offset) % daemons.size()), 300);
+                    assertThat(answer.kind()).as(answer.toString()).isEqualTo(Kind.RIGHT);
+                }
+                return null;
+            }));
+        }
+        finish(load);
+    }
+
+    private static void finish(List<Future<Void>> load) throws Exception {
+        for (Future<Void> task : load) {
+            task.get(60, TimeUnit.SECONDS);
+        }
+    }
+
+    /** Returns whether these daemons have no other members. */
+    private boolean knowOnlyThemselves(List<Integer> daemons) throws Exception {
+        boolean alone = true;
+        for (int daemon : daemons) {
+            alone &= fleet.members(daemon) == daemons.size();
+        }
+        return alone;
+    }
+
+    private List<Integer> othersThan(int daemon) {
+        return IntStream.range(0, fleet.size()).filter(i -> i != daemon).boxed().toList();
+    }
+}
