--- a/bench/src/main/java/org/heatherreach/bench/trial/TrialCaller.java
+++ b/bench/src/main/java/org/heatherreach/bench/trial/TrialCaller.java
@@ -51,7 +51,7 @@
      */
     public TrialAnswer send(TrialRequest request) throws IOException {
         String address = nextAddress();
-        HttpRequest.Builder builder = HttpRequest.newBuilder(URI.create("http://" + address + request.path()))
+        HttpRequest.Builder builder = HttpRequest.newBuilder(URI.create("http://" + address + request.target()))
                 .timeout(Duration.ofMillis(CALLER_TIMEOUT_MILLIS * 2L))
                 .header("Heatherreach-Service", request.service())
                 .header("Heatherreach-Rank", request.rank().label())
--- a/bench/src/main/java/org/heatherreach/bench/trial/TrialRequest.java
+++ b/bench/src/main/java/org/heatherreach/bench/trial/TrialRequest.java
@@ -4,7 +4,7 @@
 import java.util.Objects;
 import java.util.Optional;
 
-import org.heatherreach.standins.ResponseBody;
+import org.heatherreach.standins.BackendTarget;
 import org.heatherreach.state.rank.Rank;
 
 /**
@@ -26,8 +26,8 @@
         Objects.requireNonNull(key, "key");
     }
 
-    String path() {
-        return "/work/" + number + "?size=" + sizeBytes + "&service_ms=" + serviceMillis;
+    BackendTarget target() {
+        return new BackendTarget("/work/" + number, serviceMillis, sizeBytes);
     }
 
     String method() {
@@ -39,6 +39,6 @@
     }
 
     byte[] expectedBody() {
-        return ResponseBody.of(method(), path(), body(), sizeBytes);
+        return target().responseBody(method(), body());
     }
 }
