Repeat idempotent requests in time, and log what became of each request

Cause: an idempotent request waited for a hanging server until its deadline; a failed connection used up an attempt although nothing was sent; one daemon with a broken path took a server away from all; nothing said why a request failed.

--- a/daemon/src/main/java/org/heatherreach/daemon/Logs.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/Logs.java
@@ -5,11 +5,13 @@
 import org.jboss.logmanager.LogContext;
 import org.jboss.logmanager.formatters.JsonFormatter;
 import org.jboss.logmanager.formatters.PatternFormatter;
+import org.jboss.logmanager.handlers.AsyncHandler;
 import org.jboss.logmanager.handlers.ConsoleHandler;
 import reactor.util.Loggers;
 
 /** Configures logging from the settings. Stateless. */
 public final class Logs {
+    private static final int QUEUE_LINES = 4096;
     private static final String PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5p [%c{1}] %s%e%n";
 
     private Logs() {}
@@ -20,8 +22,12 @@
                 ConsoleHandler.Target.SYSTEM_OUT,
                 format == LogFormat.JSON ? new JsonFormatter() : new PatternFormatter(PATTERN));
         handler.setLevel(level.level());
+        // A reader that is slow must never hold up a thread that logs.
+        AsyncHandler async = new AsyncHandler(QUEUE_LINES);
+        async.setOverflowAction(AsyncHandler.OverflowAction.DISCARD);
+        async.addHandler(handler);
         org.jboss.logmanager.Logger root = LogContext.getLogContext().getLogger("");
-        root.setHandlers(new Handler[] {handler});
+        root.setHandlers(new Handler[] {async});
         root.setLevel(level.level());
         Loggers.useJdkLoggers();
         // Libraries log per connection; the request path has counters for that.
--- a/daemon/src/main/java/org/heatherreach/daemon/site/SiteDaemon.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/SiteDaemon.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
+import io.micrometer.core.instrument.Counter;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoopGroup;
@@ -98,6 +99,7 @@
         scheduler = new PooledScheduler(settings.zone(), random.split(), RING_CAPACITY, news);
         news.use(() -> scheduler);
         servers = new ServerRegistry(codec, scheduler::changePool, System::nanoTime);
+        Counter droppedLines = registry.counter("heatherreach.log.lines.dropped");
         RequestIdSource requestIds = new RequestIdSource(incarnation);
         CallDialect dialect = dialects.create(table, requestIds);
         ProxyParts parts = new ProxyParts(
@@ -113,7 +115,7 @@
                 meters,
                 incarnation,
                 requestIds,
-                new RequestHistory(REQUEST_HISTORY));
+                new RequestHistory(REQUEST_HISTORY, new RequestLog(droppedLines::increment)));
         socket.bind(
                 settings.peer().getAddress().getHostAddress(), settings.peer().getPort(), news);
         follow(store, codec.operatorPrefix(), random, table);
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -102,7 +102,6 @@
     private volatile ScheduledFuture<?> stallTimer;
     private int attempts;
     private int connectFailures;
-    private volatile BackendAttempt replaced;
     private ScheduledFuture<?> slowTimer;
 
     CallerExchange(
@@ -366,24 +365,42 @@
                 },
                 this::stream);
         attempt = current;
-        watchSlowness(current);
+        Sinks.One<Boolean> slow = Sinks.one();
+        watchSlowness(current, slow);
         int connections = parts.catalog()
                 .serviceLimits(request.service())
                 .map(limits -> limits.connections())
                 .getOrElse(1);
         HttpClient client = clients.client(server.address(), connections);
-        return current.run(client)
-                .flatMap(answer -> repeatsError(answer)
-                        ? this.<Answer>onLoop(Mono.defer(() -> afterError(server, current, body, answer)))
-                        : claim(answer))
+        return Mono.firstWithSignal(
+                        current.run(client).map(Option::some), slow.asMono().map(known -> Option.<Answer>none()))
+                .flatMap(answer -> followUp(server, current, body, answer))
                 // The caller's event loop goes on, so that the state of the exchange needs no locks.
                 .onErrorResume(
                         BackendFailure.class,
                         failure -> this.<Answer>onLoop(Mono.defer(() -> afterFailure(server, current, body, failure))));
     }
 
+    /** Goes on after an answer, or after it was decided not to wait for one any longer. */
+    private Mono<Answer> followUp(
+            BackendServer server, BackendAttempt current, RequestBody body, Option<Answer> answer) {
+        if (answer.isEmpty()) {
+            return onLoop(Mono.defer(() -> repeat(RetryReason.SERVER_SLOW, server, body)));
+        }
+        return repeatsError(answer.get())
+                ? onLoop(Mono.defer(() -> afterError(server, current, body, answer.get())))
+                : claim(answer.get());
+    }
+
+    private Mono<Answer> repeat(RetryReason reason, BackendServer failed, RequestBody body) {
+        earlierAttemptMayHaveRun = true;
+        tried.add(failed.id());
+        parts.meters().countRetry(reason);
+        return schedule(body);
+    }
+
     /** Sends an idempotent request to another server if this one has not answered while a second try still fits. */
-    private void watchSlowness(BackendAttempt current) {
+    private void watchSlowness(BackendAttempt current, Sinks.One<Boolean> slow) {
         if (!request.isSafe()
                 || !request.terms().repeatsErrors()
                 || request.terms().targetLatencyMillis() == 0) {
@@ -397,7 +414,7 @@
                                     && attempt == current
                                     && !current.hasAnswer()
                                     && mayRepeat(RetryReason.SERVER_SLOW, current)) {
-                                replaced = current;
+                                slow.tryEmitValue(true);
                                 current.abandon(FailureKind.STALLED);
                             }
                         },
@@ -417,10 +434,7 @@
         if (phase.get() != Phase.RUNNING || !mayRepeat(RetryReason.SERVER_ERROR, failed)) {
             return claim(answer);
         }
-        earlierAttemptMayHaveRun = true;
-        tried.add(server.id());
-        parts.meters().countRetry(RetryReason.SERVER_ERROR);
-        return schedule(body);
+        return repeat(RetryReason.SERVER_ERROR, server, body);
     }
 
     private void observeHead(BackendServer server, HttpHeaders headers) {
@@ -447,9 +461,8 @@
             connectFailures++;
             attempts--;
         }
-        boolean granted = failed == replaced;
-        RetryReason reason = granted ? RetryReason.SERVER_SLOW : retryReason(failure.kind());
-        if (granted || (reason != null && mayRepeat(reason, failed))) {
+        RetryReason reason = retryReason(failure.kind());
+        if (reason != null && mayRepeat(reason, failed)) {
             parts.meters().countRetry(reason);
             return schedule(body);
         }
--- a/transport/src/main/java/org/heatherreach/transport/http/RequestHistory.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/RequestHistory.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReferenceArray;
+import java.util.function.Consumer;
 
 /**
  * The last requests that ended at this daemon, for operators who ask what became of one. A new entry replaces the oldest
@@ -22,6 +23,7 @@
 
     private final AtomicReferenceArray<EndedRequest> entries;
     private final AtomicLong added = new AtomicLong();
+    private final Consumer<EndedRequest> listener;
 
     /**
      * Creates an empty history.
@@ -30,10 +32,22 @@
      * @throws IllegalArgumentException if the capacity is not positive
      */
     public RequestHistory(int capacity) {
+        this(capacity, request -> {});
+    }
+
+    /**
+     * Creates an empty history.
+     *
+     * @param capacity how many requests are kept
+     * @param listener is told of each request that ended; it must not block
+     * @throws IllegalArgumentException if the capacity is not positive
+     */
+    public RequestHistory(int capacity, Consumer<EndedRequest> listener) {
         if (capacity < 1) {
             throw new IllegalArgumentException("capacity must be at least 1");
         }
         entries = new AtomicReferenceArray<>(capacity);
+        this.listener = Objects.requireNonNull(listener, "listener");
     }
 
     /** Returns how many requests are kept at most. */
@@ -45,6 +59,7 @@
     public void add(EndedRequest request) {
         Objects.requireNonNull(request, "request");
         entries.set((int) (added.getAndIncrement() % entries.length()), request);
+        listener.accept(request);
     }
 
     /** Returns the requests with an id, the newest first: a caller that chooses ids may use one several times. */
