--- a/coordination/src/main/java/org/heatherreach/coordination/balance/PoolResult.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/PoolResult.java
@@ -5,32 +5,29 @@
     /** The server answered. */
     SUCCESS(0),
     /** The server answered with an error. */
-    ERROR(800),
-    /** The connection broke or the answer was malformed. */
-    LOST(1000),
+    ERROR(1),
+    /** The connection broke or the answer was malformed, which also happens to single requests of sound servers. */
+    LOST(0.5),
     /** The server gave no answer in the time in which others do. */
-    STALLED(1500),
+    STALLED(1),
     /** No connection could be established. */
-    UNREACHABLE(1500),
+    UNREACHABLE(1.2),
     /** Another server answered at the address. */
-    MISDIRECTED(3000),
+    MISDIRECTED(2.5),
     /** The server was full. */
     SHED(0),
     /** The exchange ended for a reason that says nothing about the server. */
     CANCELLED(0);
 
-    /** The greatest time for which a server is avoided after repeated failures. */
-    private static final long AVOID_LIMIT_MILLIS = 5_000;
+    private final double weight;
 
-    private final long avoidMillis;
-
-    PoolResult(long avoidMillis) {
-        this.avoidMillis = avoidMillis;
+    PoolResult(double weight) {
+        this.weight = weight;
     }
 
     /** Returns whether the result counts against the server. */
     public boolean isFailure() {
-        return avoidMillis > 0;
+        return weight > 0;
     }
 
     /** Returns whether the cause may lie on the path between one daemon and the server. */
@@ -38,8 +35,8 @@
         return this == UNREACHABLE || this == STALLED;
     }
 
-    /** Returns for how long a server is avoided; the time doubles with each failure in a row. */
-    long avoidMillis(int failuresInARow) {
-        return Math.min(AVOID_LIMIT_MILLIS, avoidMillis << Math.min(8, Math.max(0, failuresInARow - 1)));
+    /** Returns how much the result weighs as evidence against the server; an error answer weighs 1. */
+    double weight() {
+        return weight;
     }
 }
--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerChoice.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerChoice.java
@@ -63,7 +63,7 @@
             cost += COLD_COST;
         }
         if (load.isAvoided(nowNanos)) {
-            cost += AVOIDED_COST + FAILURE_COST * Math.min(5, load.failuresInARow());
+            cost += AVOIDED_COST + FAILURE_COST * Math.min(5, load.suspicion(nowNanos));
         } else if (load.isOnTrial(nowNanos)) {
             boolean probes = request.idempotent()
                     && load.inFlight() == 0
--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerLoad.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerLoad.java
@@ -19,10 +19,20 @@
     /** More peers than a partial partition usually cuts off. */
     private static final int PATH_WITNESSES = 3;
 
+    /** The time for which a server is avoided after one error; it grows with the suspicion. */
+    private static final double AVOID_MILLIS = 800;
+
+    private static final double AVOID_EXPONENT = 1.5;
+    private static final double AVOID_LIMIT_MILLIS = 4000;
+    private static final double HALF_LIFE_NANOS = 2e9;
+    /** What a success leaves of the suspicion. */
+    private static final double SUCCESS_FACTOR = 0.5;
+
     private final Map<Long, Long> pathFailureDeadlines = new HashMap<>();
     private PoolServer server;
     private int inFlight;
-    private int failuresInARow;
+    private double suspicion;
+    private long suspicionNanos;
     private boolean onTrial;
     private long avoidDeadlineNanos;
     private long fullDeadlineNanos;
@@ -31,6 +41,7 @@
 
     ServerLoad(PoolServer server, long nowNanos) {
         this.server = server;
+        this.suspicionNanos = nowNanos;
         this.avoidDeadlineNanos = nowNanos;
         this.fullDeadlineNanos = nowNanos;
         this.peerDeadlineNanos = nowNanos;
@@ -70,14 +81,17 @@
 
     void note(PoolResult result, long nowNanos) {
         if (result == PoolResult.SUCCESS) {
-            failuresInARow = 0;
+            suspicion = suspicion(nowNanos) * SUCCESS_FACTOR;
+            suspicionNanos = nowNanos;
             onTrial = false;
         } else if (result == PoolResult.SHED) {
             fullDeadlineNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(FULL_MILLIS);
         } else if (result.isFailure()) {
-            failuresInARow++;
+            suspicion = suspicion(nowNanos) + result.weight();
+            suspicionNanos = nowNanos;
             onTrial = true;
-            long deadlineNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(result.avoidMillis(failuresInARow));
+            double avoidMillis = Math.min(AVOID_LIMIT_MILLIS, AVOID_MILLIS * Math.pow(suspicion, AVOID_EXPONENT));
+            long deadlineNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos((long) avoidMillis);
             if (deadlineNanos - avoidDeadlineNanos > 0) {
                 avoidDeadlineNanos = deadlineNanos;
             }
@@ -106,8 +120,9 @@
         return onTrial && avoidDeadlineNanos - nowNanos <= 0;
     }
 
-    int failuresInARow() {
-        return failuresInARow;
+    /** Returns the weight of the failures of the last seconds; older ones count less and less. */
+    double suspicion(long nowNanos) {
+        return suspicion * Math.pow(0.5, (nowNanos - suspicionNanos) / HALF_LIFE_NANOS);
     }
 
     boolean isFull(long nowNanos) {
--- a/daemon/src/main/java/org/heatherreach/daemon/site/SiteCatalog.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/SiteCatalog.java
@@ -15,8 +15,10 @@
  * the fleet. Safe for use by any thread.
  */
 final class SiteCatalog implements ServiceCatalog {
-    /** The part of the budget that is spent, since the daemons do not see each other's requests. */
-    private static final double USED_SHARE = 0.7;
+    /** The part of the share that is spent; the rest covers windows that do not lie alike. */
+    private static final double USED_SHARE = 0.9;
+    /** The part of the slack that is spent; a restarted daemon begins with a new one. */
+    private static final double USED_SLACK = 0.75;
 
     private static final int QUEUE_LIMIT = 2000;
     private static final int DEFAULT_TIMEOUT_MILLIS = 10_000;
@@ -51,6 +53,6 @@
 
     @Override
     public int retrySlack(ServiceId service) {
-        return (int) (settings.retrySlack() * USED_SHARE / daemonCount.getAsInt());
+        return (int) (settings.retrySlack() * USED_SLACK / daemonCount.getAsInt());
     }
 }
--- a/daemon/src/main/java/org/heatherreach/daemon/site/SiteDaemon.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/SiteDaemon.java
@@ -56,7 +56,7 @@
     private static final long TICK_MILLIS = 250;
     private static final long POLL_MILLIS = 20;
     /** The time before the end of the grace period at which the process ends by itself. */
-    private static final long EXIT_MARGIN_MILLIS = 400;
+    private static final long EXIT_MARGIN_MILLIS = 700;
     /** Callers keep an answer of the directory for up to three times its time. */
     private static final int KEEP_FACTOR = 3;
 
