--- a/daemon/src/main/java/org/heatherreach/daemon/site/SiteDaemon.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/SiteDaemon.java
@@ -131,6 +131,11 @@
         LOG.infof("daemon=%s state=started incarnation=%s front=%s", settings.daemon(), incarnation, settings.front());
     }
 
+    /** Returns the port for callers. */
+    public int frontPort() {
+        return front.port();
+    }
+
     /** Leaves the directory, serves until callers have forgotten the address, finishes what is in flight and ends. */
     public void shutDown() {
         long startNanos = System.nanoTime();
