--- a/daemon/src/main/java/org/heatherreach/daemon/site/ServerRegistry.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/ServerRegistry.java
@@ -166,9 +166,10 @@
                 changed.add(known.server.service());
             }
             LOG.infof(
-                    "server=%s service=%s state=%s incarnation=%d revision=%d",
+                    "server=%s service=%s zone=%s state=%s incarnation=%d revision=%d",
                     server.server().id(),
                     server.service(),
+                    server.server().zone(),
                     server.leaving() ? "leaving" : "listed",
                     server.incarnation(),
                     value.modRevision());
