Hold a request back while every server is known to be full

Change: changed loads are told to the zone within 4 ms and to other zones five times a second; a server whose known requests fill its slots gets no more.

--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerChoice.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerChoice.java
@@ -16,7 +16,6 @@
     /** Near servers win between equally loaded ones. */
     private static final double FAR_COST = 0.3;
 
-    private static final double QUEUE_COST = 1;
     private static final double COLD_COST = 0.6;
     private static final double TRIAL_COST = 3;
     /** An idempotent request finds out whether a server works again before others are sent there. */
@@ -55,7 +54,7 @@
 
     private double cost(ServerLoad load, PoolRequest request, long nowNanos) {
         double used = (double) load.knownInFlight(nowNanos) / load.server().slots();
-        double cost = used >= 1 ? used + QUEUE_COST : used;
+        double cost = used;
         if (!load.server().zone().equals(zone)) {
             cost += request.largeAnswer() ? FAR_LARGE_COST : FAR_COST;
         }
--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerLoad.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerLoad.java
@@ -4,6 +4,9 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
+import net.openhft.hashing.LongHashFunction;
+import org.heatherreach.state.id.ServerId;
+
 /**
  * What is known of one start of a server: its load and its latest failures. Confined to one duty thread.
  *
@@ -14,6 +17,7 @@
     /** A full server usually frees a slot within the time of a short request. */
     private static final long FULL_MILLIS = 150;
 
+    private static final LongHashFunction HASH = LongHashFunction.xx3();
     /** For so long the view of one peer adds to that of others. */
     private static final long PATH_EVIDENCE_MILLIS = 2000;
     /** More peers than a partial partition usually cuts off. */
@@ -29,6 +33,7 @@
     private static final double SUCCESS_FACTOR = 0.5;
 
     private final Map<Long, Long> pathFailureDeadlines = new HashMap<>();
+    private final int hash;
     private PoolServer server;
     private int inFlight;
     private double suspicion;
@@ -41,12 +46,22 @@
 
     ServerLoad(PoolServer server, long nowNanos) {
         this.server = server;
+        this.hash = hashOf(server.id());
         this.suspicionNanos = nowNanos;
         this.avoidDeadlineNanos = nowNanos;
         this.fullDeadlineNanos = nowNanos;
         this.peerDeadlineNanos = nowNanos;
     }
 
+    /** Returns the number by which daemons name a server to each other; a rare collision only misjudges a load. */
+    static int hashOf(ServerId server) {
+        return (int) HASH.hashChars(server.value());
+    }
+
+    int hash() {
+        return hash;
+    }
+
     PoolServer server() {
         return server;
     }
@@ -126,7 +141,7 @@
     }
 
     boolean isFull(long nowNanos) {
-        return inFlight >= server.slots() || fullDeadlineNanos - nowNanos > 0;
+        return knownInFlight(nowNanos) >= server.slots() || fullDeadlineNanos - nowNanos > 0;
     }
 
     boolean isWarm(long nowNanos) {
--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerPool.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerPool.java
@@ -136,23 +136,29 @@
         }
     }
 
-    /** Notes how many requests peers have at a server. */
-    public void notePeerLoad(ServerId id, int requests, long validUntilNanos) {
-        ServerLoad load = servers.get(id);
-        if (load != null) {
-            load.notePeers(requests, validUntilNanos);
+    /**
+     * Notes how many requests peers have at servers.
+     *
+     * @param requestsByHash the requests of all peers by {@link ServerLoad#hashOf}; servers that are missing keep theirs
+     * @param validUntilNanos when the numbers are forgotten
+     */
+    public List<PoolAction> notePeerLoads(Map<Integer, Integer> requestsByHash, long validUntilNanos, long nowNanos) {
+        for (ServerLoad load : servers.values()) {
+            Integer requests = requestsByHash.get(load.hash());
+            if (requests != null) {
+                load.notePeers(requests, validUntilNanos);
+            }
         }
+        return queue.isEmpty() ? List.of() : dispatchWaiting(nowNanos);
     }
 
-    /** Returns how many requests this daemon has at each server where it has any. */
-    public Map<ServerId, Integer> inFlight() {
-        Map<ServerId, Integer> counts = new HashMap<>();
-        servers.forEach((id, load) -> {
+    /** Adds how many requests this daemon has at each server where it has any, by the hash of the server. */
+    public void addLoads(Map<Integer, Integer> requestsByHash) {
+        for (ServerLoad load : servers.values()) {
             if (load.inFlight() > 0) {
-                counts.put(id, load.inFlight());
+                requestsByHash.put(load.hash(), load.inFlight());
             }
-        });
-        return counts;
+        }
     }
 
     /** Refuses waiting requests that can no longer be served in time and notices servers that do not answer. */
--- a/coordination/src/test/java/org/heatherreach/coordination/balance/ServerPoolTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/balance/ServerPoolTest.java
@@ -94,6 +94,21 @@
         assertThat(counts).containsEntry(new ServerId("a"), 3).containsEntry(new ServerId("b"), 3);
     }
 
+    // Guards against a queue at a server while another daemon's requests fill it: the request waits for the first slot.
+    @Example
+    void waitsWhileThePeersFillEveryServer() {
+        pool.replace(List.of(server("a", NEAR, 1), server("b", FAR, 1)), 0);
+        int a = ServerLoad.hashOf(new ServerId("a"));
+        int b = ServerLoad.hashOf(new ServerId("b"));
+        pool.notePeerLoads(Map.of(a, 3, b, 3), SECOND, 0);
+        assertThat(submit(request(false), 0)).isEmpty();
+        assertThat(pool.notePeerLoads(Map.of(b, 2), SECOND, MILLI))
+                .containsExactly(new PoolAction.Dispatch(ticket, new ServerId("b")));
+        assertThat(dispatch(request(false), 2 * SECOND))
+                .as("old news is forgotten")
+                .isNotNull();
+    }
+
     // Flood of the least urgent rank: an urgent request that arrives later gets the first slot that becomes free.
     @Example
     void givesAFreedSlotToTheMostUrgentRequest() {
--- a/daemon/src/main/java/org/heatherreach/daemon/site/PeerNews.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/PeerNews.java
@@ -10,7 +10,6 @@
 
 import org.heatherreach.coordination.balance.PoolResult;
 import org.heatherreach.protocol.peer.wire.PoolFailure;
-import org.heatherreach.protocol.peer.wire.PoolLoad;
 import org.heatherreach.protocol.peer.wire.PoolNews;
 import org.heatherreach.state.id.ServerId;
 import org.heatherreach.state.id.ServiceId;
@@ -20,8 +19,8 @@
 import org.heatherreach.transport.peer.PacketSocket;
 
 /**
- * Exchanges with other daemons what the pools know: failures of servers with all of them, the requests in flight with
- * those of the same zone, so that the frequent messages stay in the zone.
+ * Exchanges with other daemons what the pools know: failures of servers at once, requests in flight at once within the
+ * zone and a few times a second between zones, where bytes have a price.
  *
  * <p>Thread safety: the methods for outgoing news are called by the schedule duty, {@link #receive} by the event loop of
  * the socket; {@link #use} is called once before either.
@@ -30,12 +29,12 @@
     /** Bounds the datagrams that one failure causes in a large fleet. */
     private static final int PEER_LIMIT = 64;
     /** Keeps a datagram with loads within its limit of bytes. */
-    private static final int LOADS_PER_PACKET = 24;
+    private static final int LOADS_PER_PACKET = 120;
 
     private final PacketSocket<PoolNews> socket;
     private final DaemonRegistry registry;
     private final long incarnation;
-    private final Map<InetSocketAddress, Map<ServiceId, Map<ServerId, Integer>>> loadsByPeer = new HashMap<>();
+    private final Map<InetSocketAddress, PeerLoads> loadsByPeer = new HashMap<>();
     private Supplier<PooledScheduler> scheduler;
 
     /** Creates the exchange. */
@@ -64,19 +63,14 @@
     }
 
     @Override
-    public void reportLoads(Map<ServiceId, Map<ServerId, Integer>> inFlight) {
+    public void reportLoads(Map<Integer, Integer> inFlight, boolean near) {
         PoolNews.Builder news = PoolNews.newBuilder().setSender(incarnation).setHasLoads(true);
-        inFlight.forEach((service, servers) -> servers.forEach((server, requests) -> {
-            if (news.getLoadsCount() < LOADS_PER_PACKET) {
-                news.addLoads(PoolLoad.newBuilder()
-                        .setService(service.value())
-                        .setServer(server.value())
-                        .setInFlight(requests));
-            }
-        }));
+        inFlight.entrySet().stream()
+                .limit(LOADS_PER_PACKET)
+                .forEach(load -> news.addLoadedServers(load.getKey()).addInFlight(load.getValue()));
         PoolNews packet = news.build();
         registry.peers().stream()
-                .filter(DaemonRegistry.Peer::near)
+                .filter(peer -> peer.near() == near)
                 .limit(PEER_LIMIT)
                 .forEach(peer -> socket.send(packet, peer.address()));
     }
@@ -102,31 +96,41 @@
     }
 
     private void noteLoads(PoolNews news, InetSocketAddress from) {
-        Map<ServiceId, Map<ServerId, Integer>> loads = new HashMap<>();
-        for (PoolLoad load : news.getLoadsList()) {
-            loads.computeIfAbsent(new ServiceId(load.getService()), key -> new HashMap<>())
-                    .put(new ServerId(load.getServer()), load.getInFlight());
+        Map<Integer, Integer> loads = new HashMap<>();
+        int count = Math.min(news.getLoadedServersCount(), news.getInFlightCount());
+        for (int i = 0; i < count; i++) {
+            loads.put(news.getLoadedServers(i), news.getInFlight(i));
         }
-        Map<ServiceId, Map<ServerId, Integer>> before = loadsByPeer.put(from, loads);
-        Map<ServiceId, Set<ServerId>> changed = new HashMap<>();
-        collect(loads, changed);
+        Set<Integer> changed = new HashSet<>(loads.keySet());
+        long nowNanos = System.nanoTime();
+        // A peer that fell silent no longer counts; its servers are among those whose sums change.
+        loadsByPeer.values().removeIf(peer -> {
+            boolean silent = nowNanos - peer.validUntilNanos >= 0;
+            if (silent) {
+                changed.addAll(peer.inFlight.keySet());
+            }
+            return silent;
+        });
+        PeerLoads before = loadsByPeer.put(from, new PeerLoads(loads, nowNanos + PooledScheduler.LOAD_VALID_NANOS));
         if (before != null) {
-            collect(before, changed);
+            changed.addAll(before.inFlight.keySet());
         }
-        Map<ServiceId, Map<ServerId, Integer>> sums = new HashMap<>();
-        changed.forEach((service, servers) -> servers.forEach(
-                server -> sums.computeIfAbsent(service, key -> new HashMap<>()).put(server, sum(service, server))));
+        Map<Integer, Integer> sums = new HashMap<>();
+        changed.forEach(server -> sums.put(server, sum(server)));
         scheduler.get().notePeerLoads(sums);
     }
 
-    private static void collect(Map<ServiceId, Map<ServerId, Integer>> loads, Map<ServiceId, Set<ServerId>> into) {
-        loads.forEach((service, servers) ->
-                into.computeIfAbsent(service, key -> new HashSet<>()).addAll(servers.keySet()));
-    }
-
-    private int sum(ServiceId service, ServerId server) {
+    private int sum(int server) {
         return loadsByPeer.values().stream()
-                .mapToInt(loads -> loads.getOrDefault(service, Map.of()).getOrDefault(server, 0))
+                .mapToInt(loads -> loads.inFlight.getOrDefault(server, 0))
                 .sum();
     }
+
+    /**
+     * What a peer told last.
+     *
+     * @param inFlight its requests in flight by the hash of the server
+     * @param validUntilNanos when this is forgotten
+     */
+    private record PeerLoads(Map<Integer, Integer> inFlight, long validUntilNanos) {}
 }
--- a/transport/src/main/java/org/heatherreach/transport/http/PoolPeers.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/PoolPeers.java
@@ -14,12 +14,17 @@
         public void reportFailure(ServiceId service, ServerId server, long incarnation, PoolResult result) {}
 
         @Override
-        public void reportLoads(Map<ServiceId, Map<ServerId, Integer>> inFlight) {}
+        public void reportLoads(Map<Integer, Integer> inFlight, boolean near) {}
     };
 
     /** A server failed a request. */
     void reportFailure(ServiceId service, ServerId server, long incarnation, PoolResult result);
 
-    /** The numbers of requests that this daemon has at servers now. */
-    void reportLoads(Map<ServiceId, Map<ServerId, Integer>> inFlight);
+    /**
+     * The numbers of requests that this daemon has at servers now.
+     *
+     * @param inFlight the numbers by the hash of the server
+     * @param near whether the peers of the own zone are told, else those of other zones
+     */
+    void reportLoads(Map<Integer, Integer> inFlight, boolean near);
 }
--- a/transport/src/main/java/org/heatherreach/transport/http/PooledScheduler.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/PooledScheduler.java
@@ -30,9 +30,14 @@
  */
 public final class PooledScheduler implements RequestScheduler {
     private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
-    private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    /** Changes within this time are told together to the daemons of the own zone, where bytes cost nothing. */
+    private static final long NEAR_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(4);
+    /** Loads that did not change are told again, so that a lost datagram is made up for. */
+    private static final long NEAR_REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    private static final long FAR_REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
     /** Loads that a peer did not renew within a few reports are forgotten. */
-    private static final long LOAD_VALID_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    public static final long LOAD_VALID_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final ZoneId zone;
     private final RandomGenerator random;
@@ -41,8 +46,10 @@
     private final Queue<Runnable> overflow = new ConcurrentLinkedQueue<>();
     private final Map<ServiceId, Pool> pools = new HashMap<>();
     private final Map<Long, Entry> entries = new HashMap<>();
-    private long reportDeadlineNanos;
-    private boolean reportedLoad;
+    private long nearDeadlineNanos = System.nanoTime();
+    private long farDeadlineNanos = nearDeadlineNanos;
+    private boolean nearReported;
+    private boolean farReported;
 
     /**
      * Creates a scheduler and starts its thread.
@@ -57,7 +64,6 @@
         this.random = Objects.requireNonNull(random, "random");
         this.peers = Objects.requireNonNull(peers, "peers");
         this.duty = new DutyThread<>("schedule", ringCapacity, this::handle, this::tick, TICK_NANOS);
-        this.reportDeadlineNanos = System.nanoTime();
         this.duty.start();
     }
 
@@ -75,6 +81,7 @@
                     submission.deadlineNanos(),
                     submission.tried());
             apply(pool, pool.decisions.submit(request, nowNanos));
+            reportSoon();
         });
     }
 
@@ -84,6 +91,7 @@
             Entry entry = entries.remove(ticket);
             if (entry != null) {
                 apply(entry.pool, entry.pool.decisions.complete(ticket, resultOf(result.failure()), System.nanoTime()));
+                reportSoon();
             }
         });
     }
@@ -129,12 +137,13 @@
         duty.offer(() -> pool(service).decisions.notePeerFailure(peer, server, incarnation, result, System.nanoTime()));
     }
 
-    /** Notes the numbers of requests that the peers in this zone have at servers. */
-    public void notePeerLoads(Map<ServiceId, Map<ServerId, Integer>> inFlight) {
+    /** Notes the numbers of requests that all peers have at servers, by the hash of the server. */
+    public void notePeerLoads(Map<Integer, Integer> inFlight) {
         duty.offer(() -> {
-            long validUntilNanos = System.nanoTime() + LOAD_VALID_NANOS;
-            inFlight.forEach((service, servers) -> servers.forEach(
-                    (server, requests) -> pool(service).decisions.notePeerLoad(server, requests, validUntilNanos)));
+            long nowNanos = System.nanoTime();
+            pools.values()
+                    .forEach(pool ->
+                            apply(pool, pool.decisions.notePeerLoads(inFlight, nowNanos + LOAD_VALID_NANOS, nowNanos)));
         });
     }
 
@@ -162,25 +171,37 @@
             late = overflow.poll();
         }
         pools.values().forEach(pool -> apply(pool, pool.decisions.tick(nowNanos)));
-        if (nowNanos - reportDeadlineNanos >= 0) {
-            reportDeadlineNanos = nowNanos + REPORT_NANOS;
-            reportLoads();
+        reportLoads(nowNanos);
+    }
+
+    private void reportLoads(long nowNanos) {
+        if (nowNanos - nearDeadlineNanos >= 0) {
+            nearDeadlineNanos = nowNanos + NEAR_REPORT_NANOS;
+            nearReported = report(true, nearReported);
+        }
+        if (nowNanos - farDeadlineNanos >= 0) {
+            farDeadlineNanos = nowNanos + FAR_REPORT_NANOS;
+            farReported = report(false, farReported);
         }
     }
 
-    private void reportLoads() {
-        Map<ServiceId, Map<ServerId, Integer>> loads = new HashMap<>();
-        pools.forEach((service, pool) -> {
-            Map<ServerId, Integer> inFlight = pool.decisions.inFlight();
-            if (!inFlight.isEmpty()) {
-                loads.put(service, inFlight);
-            }
-        });
-        // The first empty report tells the peers that nothing is left; more of them would say nothing new.
-        if (!loads.isEmpty() || reportedLoad) {
-            peers.reportLoads(loads);
+    /** Tells the loads. The first report without any says that nothing is left; more of them would say nothing new. */
+    private boolean report(boolean near, boolean reportedBefore) {
+        Map<Integer, Integer> loads = new HashMap<>();
+        pools.values().forEach(pool -> pool.decisions.addLoads(loads));
+        if (!loads.isEmpty() || reportedBefore) {
+            peers.reportLoads(loads, near);
+        }
+        return !loads.isEmpty();
+    }
+
+    /** Brings the report to the own zone forward, because the loads changed. */
+    private void reportSoon() {
+        long deadlineNanos = System.nanoTime() + NEAR_GAP_NANOS;
+        if (deadlineNanos - nearDeadlineNanos < 0) {
+            nearDeadlineNanos = deadlineNanos;
+            duty.tickBy(deadlineNanos);
         }
-        reportedLoad = !loads.isEmpty();
     }
 
     private void apply(Pool pool, List<PoolAction> actions) {
