Let requests wait for servers free of suspicion, and large answers for the zone

Change: an avoided server gets requests only if most are avoided; a request that must run once waits up to 0.3 s for a server free of suspicion, a large answer up to 0.15 s for its zone. The first success of a suspected server is told to the peers.

--- a/coordination/src/main/java/org/heatherreach/coordination/balance/PoolAction.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/PoolAction.java
@@ -23,11 +23,11 @@
     record Refuse(long ticket, RefusalReason reason, long retryAfterMillis) implements PoolAction {}
 
     /**
-     * Tell the peers that a server failed a request.
+     * Tell the peers that a server failed a request, or that a suspected one works again.
      *
      * @param server the server
      * @param incarnation its start
-     * @param result how it failed
+     * @param result how the request ended
      */
     record Report(ServerId server, long incarnation, PoolResult result) implements PoolAction {}
 }
--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerChoice.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerChoice.java
@@ -21,8 +21,12 @@
     /** An idempotent request finds out whether a server works again before others are sent there. */
     private static final double TRIAL_GAIN = 0.5;
 
-    private static final double AVOIDED_COST = 6;
-    private static final double FAILURE_COST = 2;
+    private static final double SUSPICION_COST = 2;
+    /** A request that must run once waits so long for a server that is free of suspicion. */
+    private static final long TRIAL_WAIT_NANOS = 300_000_000L;
+    /** A large answer waits so long for a server of its zone. */
+    private static final long FAR_WAIT_NANOS = 150_000_000L;
+
     private static final double TRIED_COST = 100;
     /** Spreads the choices of daemons that see the same loads. */
     private static final double RANDOM_COST = 0.2;
@@ -35,12 +39,13 @@
         this.random = Objects.requireNonNull(random, "random");
     }
 
-    /** Returns the best server that has room; null if none has. */
+    /** Returns the best server that has room for the request; null if it has to wait. */
     ServerLoad choose(Collection<ServerLoad> servers, PoolRequest request, long nowNanos) {
+        Outlook outlook = look(servers, nowNanos);
         ServerLoad best = null;
         double bestCost = 0;
         for (ServerLoad load : servers) {
-            if (load.isFull(nowNanos)) {
+            if (load.isFull(nowNanos) || waitsForAnother(load, request, outlook, nowNanos)) {
                 continue;
             }
             double cost = cost(load, request, nowNanos) + random.nextDouble() * RANDOM_COST;
@@ -52,26 +57,64 @@
         return best;
     }
 
+    private Outlook look(Collection<ServerLoad> servers, long nowNanos) {
+        int usable = 0;
+        int nearUsable = 0;
+        for (ServerLoad load : servers) {
+            if (!load.isAvoided(nowNanos)) {
+                usable++;
+                nearUsable += isNear(load) ? 1 : 0;
+            }
+        }
+        // When most servers are suspected, the suspicion says little, and the others could not carry the load.
+        return new Outlook(usable * 2 < servers.size(), nearUsable > 0);
+    }
+
+    private boolean waitsForAnother(ServerLoad load, PoolRequest request, Outlook outlook, long nowNanos) {
+        if (outlook.mostSuspected) {
+            return false;
+        }
+        long waitedNanos = nowNanos - request.submittedNanos();
+        if (load.isAvoided(nowNanos)) {
+            return true;
+        }
+        if (load.isOnTrial(nowNanos) && !request.idempotent() && waitedNanos < TRIAL_WAIT_NANOS) {
+            return true;
+        }
+        return request.largeAnswer() && !isNear(load) && outlook.nearUsable && waitedNanos < FAR_WAIT_NANOS;
+    }
+
+    private boolean isNear(ServerLoad load) {
+        return load.server().zone().equals(zone);
+    }
+
     private double cost(ServerLoad load, PoolRequest request, long nowNanos) {
-        double used = (double) load.knownInFlight(nowNanos) / load.server().slots();
-        double cost = used;
-        if (!load.server().zone().equals(zone)) {
+        double cost = (double) load.knownInFlight(nowNanos) / load.server().slots();
+        if (!isNear(load)) {
             cost += request.largeAnswer() ? FAR_LARGE_COST : FAR_COST;
         }
         if (!load.isWarm(nowNanos)) {
             cost += COLD_COST;
         }
-        if (load.isAvoided(nowNanos)) {
-            cost += AVOIDED_COST + FAILURE_COST * Math.min(5, load.suspicion(nowNanos));
-        } else if (load.isOnTrial(nowNanos)) {
-            boolean probes = request.idempotent()
-                    && load.inFlight() == 0
-                    && request.tried().isEmpty();
-            cost += probes ? -TRIAL_GAIN : TRIAL_COST;
+        boolean onTrial = load.isOnTrial(nowNanos);
+        boolean probes =
+                onTrial && request.idempotent() && request.tried().isEmpty() && load.knownInFlight(nowNanos) == 0;
+        if (probes) {
+            cost -= TRIAL_GAIN;
+        } else {
+            cost += SUSPICION_COST * load.suspicion(nowNanos) + (onTrial ? TRIAL_COST : 0);
         }
         if (request.tried().contains(load.server().id())) {
             cost += TRIED_COST;
         }
         return cost;
     }
+
+    /**
+     * The state of all servers at one choice.
+     *
+     * @param mostSuspected whether more than half of them are avoided
+     * @param nearUsable whether a server of the own zone is not avoided
+     */
+    private record Outlook(boolean mostSuspected, boolean nearUsable) {}
 }
--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerPool.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerPool.java
@@ -28,6 +28,9 @@
     /** Requests beyond this are refused, so that a flood can't fill the memory. */
     private static final int QUEUE_LIMIT = 2000;
 
+    /** Requests that wait for a certain server let so many others pass, which bounds the work of one event. */
+    private static final int PASSED_OVER_LIMIT = 32;
+
     private static final double FIRST_SERVICE_NANOS = 200e6;
     private static final double SERVICE_SMOOTHING = 0.05;
     /** A request that takes this many times the mean is taken as evidence of a stall. */
@@ -73,14 +76,14 @@
 
     /** Submits a request. */
     public List<PoolAction> submit(PoolRequest request, long nowNanos) {
-        List<PoolAction> actions = new ArrayList<>(1);
-        ServerLoad load = queue.isEmpty() || queue.first().priority() > request.priority()
-                ? choice.choose(servers.values(), request, nowNanos)
-                : null;
-        if (load != null) {
-            dispatch(request, load, nowNanos, actions);
+        queue.add(request);
+        waiting.put(request.ticket(), request);
+        List<PoolAction> actions = dispatchWaiting(nowNanos);
+        if (!waiting.containsKey(request.ticket())) {
             return actions;
         }
+        queue.remove(request);
+        waiting.remove(request.ticket());
         if (servers.isEmpty()) {
             actions.add(new PoolAction.Refuse(request.ticket(), RefusalReason.NO_SERVER, hint.drawMillis(0)));
             return actions;
@@ -194,8 +197,9 @@
     }
 
     private void note(ServerLoad load, PoolResult result, long nowNanos, List<PoolAction> actions) {
+        boolean cleared = result == PoolResult.SUCCESS && load.isOnTrial(nowNanos);
         load.note(result, nowNanos);
-        if (result.isFailure()) {
+        if (result.isFailure() || cleared) {
             actions.add(new PoolAction.Report(load.server().id(), load.server().incarnation(), result));
         }
     }
@@ -206,15 +210,16 @@
 
     private List<PoolAction> dispatchWaiting(long nowNanos) {
         List<PoolAction> actions = new ArrayList<>();
-        while (!queue.isEmpty()) {
-            PoolRequest next = queue.first();
+        int passedOver = 0;
+        for (PoolRequest next : List.copyOf(queue)) {
             ServerLoad load = choice.choose(servers.values(), next, nowNanos);
-            if (load == null) {
+            if (load != null) {
+                queue.remove(next);
+                waiting.remove(next.ticket());
+                dispatch(next, load, nowNanos, actions);
+            } else if (++passedOver >= PASSED_OVER_LIMIT) {
                 break;
             }
-            queue.remove(next);
-            waiting.remove(next.ticket());
-            dispatch(next, load, nowNanos, actions);
         }
         return actions;
     }
--- a/coordination/src/test/java/org/heatherreach/coordination/balance/ServerPoolTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/balance/ServerPoolTest.java
@@ -109,6 +109,45 @@
                 .isNotNull();
     }
 
+    // High load beside gray servers: a booking waits for a slot rather than going to a server that fails most requests.
+    @Example
+    void waitsRatherThanUseASuspectedServer() {
+        pool.replace(List.of(server("a", NEAR, 1), server("b", NEAR, 1), server("c", NEAR, 1)), 0);
+        pool.notePeerFailure(7, new ServerId("c"), 1, PoolResult.ERROR, 0);
+        List<Long> running = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            assertThat(dispatch(request(false), MILLI)).isNotEqualTo(new ServerId("c"));
+            running.add(ticket);
+        }
+        assertThat(submit(request(false), MILLI)).isEmpty();
+        long waiting = ticket;
+        assertThat(pool.complete(running.get(0), PoolResult.SUCCESS, 2 * MILLI))
+                .singleElement()
+                .isInstanceOfSatisfying(
+                        PoolAction.Dispatch.class,
+                        next -> assertThat(next.ticket()).isEqualTo(waiting));
+    }
+
+    // Guards against a fleet that stops serving because one bad moment made most servers suspected.
+    @Example
+    void usesSuspectedServersWhenMostAre() {
+        pool.replace(List.of(server("a", NEAR, 1), server("b", NEAR, 1), server("c", NEAR, 1)), 0);
+        for (String id : List.of("a", "b", "c")) {
+            pool.notePeerFailure(7, new ServerId(id), 1, PoolResult.ERROR, 0);
+        }
+        assertThat(dispatch(request(false), MILLI)).isNotNull();
+    }
+
+    // Guards against every daemon having to try a server again itself: the first success is told to the peers.
+    @Example
+    void tellsThePeersThatASuspectedServerWorksAgain() {
+        pool.replace(List.of(server("a", NEAR, 1)), 0);
+        pool.notePeerFailure(7, new ServerId("a"), 1, PoolResult.ERROR, 0);
+        dispatch(request(true), 2 * SECOND);
+        assertThat(pool.complete(ticket, PoolResult.SUCCESS, 2 * SECOND + MILLI))
+                .contains(new PoolAction.Report(new ServerId("a"), 1, PoolResult.SUCCESS));
+    }
+
     // Flood of the least urgent rank: an urgent request that arrives later gets the first slot that becomes free.
     @Example
     void givesAFreedSlotToTheMostUrgentRequest() {
@@ -144,7 +183,7 @@
     void keepsLargeAnswersInTheZone() {
         pool.replace(List.of(server("a", NEAR, 1), server("b", FAR, 1), server("c", FAR, 1)), 0);
         for (int i = 0; i < 3; i++) {
-            PoolRequest large = new PoolRequest(++ticket, 0, true, true, 100 * SECOND, Set.of());
+            PoolRequest large = new PoolRequest(++ticket, 0, true, true, 0, 100 * SECOND, Set.of());
             assertThat(dispatch(large, 0)).isEqualTo(new ServerId("a"));
         }
     }
@@ -158,7 +197,7 @@
     }
 
     private PoolRequest request(boolean idempotent, int priority, long deadlineNanos) {
-        return new PoolRequest(++ticket, priority, idempotent, false, deadlineNanos, Set.of());
+        return new PoolRequest(++ticket, priority, idempotent, false, 0, deadlineNanos, Set.of());
     }
 
     private List<PoolAction> submit(PoolRequest request, long nowNanos) {
--- a/transport/src/main/java/org/heatherreach/transport/http/PooledScheduler.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/PooledScheduler.java
@@ -78,6 +78,7 @@
                     submission.terms().priority(),
                     submission.terms().idempotent(),
                     submission.terms().largeAnswer(),
+                    nowNanos,
                     submission.deadlineNanos(),
                     submission.tried());
             apply(pool, pool.decisions.submit(request, nowNanos));
