--- a/coordination/src/main/java/org/heatherreach/coordination/balance/PoolResult.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/PoolResult.java
@@ -1,5 +1,7 @@
 package org.heatherreach.coordination.balance;
 
+import java.util.Locale;
+
 /** How an exchange with a server ended, as far as the choice of servers is concerned. Safe for use by any thread. */
 public enum PoolResult {
     /** The server answered. */
@@ -19,12 +21,18 @@
     /** The exchange ended for a reason that says nothing about the server. */
     CANCELLED(0);
 
+    private final String label = name().toLowerCase(Locale.ROOT);
     private final double weight;
 
     PoolResult(double weight) {
         this.weight = weight;
     }
 
+    /** Returns the form for logs. */
+    public String label() {
+        return label;
+    }
+
     /** Returns whether the result counts against the server. */
     public boolean isFailure() {
         return weight > 0;
--- a/transport/src/main/java/org/heatherreach/transport/http/PooledScheduler.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/PooledScheduler.java
@@ -19,6 +19,7 @@
 import org.heatherreach.state.id.ZoneId;
 import org.heatherreach.state.outcome.RefusalReason;
 import org.heatherreach.transport.ring.DutyThread;
+import org.jboss.logging.Logger;
 
 /**
  * Schedules with one {@link ServerPool} for each service.
@@ -30,6 +31,7 @@
  */
 public final class PooledScheduler implements RequestScheduler {
     private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
+    private static final Logger LOG = Logger.getLogger(PooledScheduler.class);
     /** Changes within this time are told together to the daemons of the own zone, where bytes cost nothing. */
     private static final long NEAR_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(4);
     /** Loads that did not change are told again, so that a lost datagram is made up for. */
@@ -135,7 +137,10 @@
 
     /** Notes a failure that a peer observed. */
     public void notePeerFailure(long peer, ServiceId service, ServerId server, long incarnation, PoolResult result) {
-        duty.offer(() -> pool(service).decisions.notePeerFailure(peer, server, incarnation, result, System.nanoTime()));
+        duty.offer(() -> {
+            logReport(service, server, result, Long.toHexString(peer));
+            pool(service).decisions.notePeerFailure(peer, server, incarnation, result, System.nanoTime());
+        });
     }
 
     /** Notes the numbers of requests that all peers have at servers, by the hash of the server. */
@@ -216,11 +221,18 @@
                         .callback()
                         .accept(new ScheduleDecision.Refuse(refusal.reason(), refusal.retryAfterMillis()));
             } else if (action instanceof PoolAction.Report report) {
+                logReport(pool.service, report.server(), report.result(), "own");
                 peers.reportFailure(pool.service, report.server(), report.incarnation(), report.result());
             }
         }
     }
 
+    private static void logReport(ServiceId service, ServerId server, PoolResult result, String observer) {
+        LOG.infof(
+                "server=%s service=%s state=%s result=%s observer=%s",
+                server, service, result.isFailure() ? "suspected" : "cleared", result.label(), observer);
+    }
+
     private Pool pool(ServiceId service) {
         return pools.computeIfAbsent(service, key -> new Pool(key, new ServerPool(zone, random)));
     }
