Share the retry budget within a zone

Change: daemons of a zone tell each other their requests and repeats with their loads and spend their zone's part together.

--- a/coordination/src/main/java/org/heatherreach/coordination/rank/RetryBudget.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/rank/RetryBudget.java
@@ -29,7 +29,7 @@
 
     /** Takes one retry out of the budget; returns whether there was one left. */
     public synchronized boolean take(long nowNanos, int percent) {
-        return take(nowNanos, percent, 0);
+        return take(nowNanos, percent, 0, RetryUsage.NONE);
     }
 
     /**
@@ -37,17 +37,29 @@
      *
      * @param percent the share of the requests of the window that may be repeated
      * @param slack the number of repeats in a window that need no requests
+     * @param peers the requests and repeats of other daemons that share the budget
      */
-    public synchronized boolean take(long nowNanos, int percent, int slack) {
+    public synchronized boolean take(long nowNanos, int percent, int slack, RetryUsage peers) {
         advance(nowNanos);
-        long used = Arrays.stream(retries).sum();
-        if ((used + 1 - slack) * 100 > percent * Arrays.stream(requests).sum()) {
+        RetryUsage all = sum().plus(peers);
+        if ((all.retries() + 1 - slack) * 100 > percent * all.requests()) {
             return false;
         }
         retries[index(currentBucket)]++;
         return true;
     }
 
+    /** Returns the requests and repeats of the window. */
+    public synchronized RetryUsage usage(long nowNanos) {
+        advance(nowNanos);
+        return sum();
+    }
+
+    private RetryUsage sum() {
+        return new RetryUsage(
+                Arrays.stream(requests).sum(), Arrays.stream(retries).sum());
+    }
+
     private void advance(long nowNanos) {
         long bucket = bucketOf(nowNanos);
         // Callers read the clock before they take the lock, so a time may lie slightly behind the newest one.
--- a/daemon/src/main/java/org/heatherreach/daemon/site/DaemonRegistry.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/DaemonRegistry.java
@@ -130,9 +130,13 @@
         return peers;
     }
 
-    /** Returns the number of daemons that are listed, this one included. */
-    public synchronized int count() {
-        return Math.max(1, listed().size());
+    /** Returns the share of the daemons that is in the zone of this one, itself included. */
+    public synchronized double zoneShare() {
+        List<DaemonEntry> listed = listed();
+        long near = listed.stream()
+                .filter(entry -> entry.getZone().equals(self.getZone()))
+                .count();
+        return (double) Math.max(1, near) / Math.max(1, listed.size());
     }
 
     @Override
--- a/daemon/src/main/java/org/heatherreach/daemon/site/PeerNews.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/PeerNews.java
@@ -9,8 +9,10 @@
 import java.util.function.Supplier;
 
 import org.heatherreach.coordination.balance.PoolResult;
+import org.heatherreach.coordination.rank.RetryUsage;
 import org.heatherreach.protocol.peer.wire.PoolFailure;
 import org.heatherreach.protocol.peer.wire.PoolNews;
+import org.heatherreach.protocol.peer.wire.PoolRetries;
 import org.heatherreach.state.id.ServerId;
 import org.heatherreach.state.id.ServiceId;
 import org.heatherreach.transport.http.PoolPeers;
@@ -36,6 +38,8 @@
     private final long incarnation;
     private final Map<InetSocketAddress, PeerLoads> loadsByPeer = new HashMap<>();
     private Supplier<PooledScheduler> scheduler;
+    private Supplier<Map<ServiceId, RetryUsage>> ownRetries;
+    private volatile Map<ServiceId, RetryUsage> peerRetries = Map.of();
 
     /** Creates the exchange. */
     public PeerNews(PacketSocket<PoolNews> socket, DaemonRegistry registry, long incarnation) {
@@ -44,9 +48,15 @@
         this.incarnation = incarnation;
     }
 
-    /** Sets the scheduler that takes the news of peers. */
-    public void use(Supplier<PooledScheduler> next) {
-        scheduler = Objects.requireNonNull(next, "next");
+    /**
+     * Sets what takes the news of peers and what they are told.
+     *
+     * @param pools takes failures and loads
+     * @param retries the retry budgets of this daemon
+     */
+    public void use(Supplier<PooledScheduler> pools, Supplier<Map<ServiceId, RetryUsage>> retries) {
+        scheduler = Objects.requireNonNull(pools, "pools");
+        ownRetries = Objects.requireNonNull(retries, "retries");
     }
 
     @Override
@@ -68,6 +78,14 @@
         inFlight.entrySet().stream()
                 .limit(LOADS_PER_PACKET)
                 .forEach(load -> news.addLoadedServers(load.getKey()).addInFlight(load.getValue()));
+        if (near) {
+            ownRetries
+                    .get()
+                    .forEach((service, usage) -> news.addRetries(PoolRetries.newBuilder()
+                            .setService(service.value())
+                            .setRequests((int) usage.requests())
+                            .setRetries((int) usage.retries())));
+        }
         PoolNews packet = news.build();
         registry.peers().stream()
                 .filter(peer -> peer.near() == near)
@@ -111,13 +129,33 @@
             }
             return silent;
         });
-        PeerLoads before = loadsByPeer.put(from, new PeerLoads(loads, nowNanos + PooledScheduler.LOAD_VALID_NANOS));
+        PeerLoads before = loadsByPeer.put(
+                from, new PeerLoads(loads, retriesOf(news), nowNanos + PooledScheduler.LOAD_VALID_NANOS));
         if (before != null) {
             changed.addAll(before.inFlight.keySet());
         }
         Map<Integer, Integer> sums = new HashMap<>();
         changed.forEach(server -> sums.put(server, sum(server)));
         scheduler.get().notePeerLoads(sums);
+        Map<ServiceId, RetryUsage> retries = new HashMap<>();
+        loadsByPeer
+                .values()
+                .forEach(peer ->
+                        peer.retries.forEach((service, usage) -> retries.merge(service, usage, RetryUsage::plus)));
+        peerRetries = retries;
+    }
+
+    /** Returns the requests and repeats of the other daemons of the zone. */
+    public RetryUsage peerRetries(ServiceId service) {
+        return peerRetries.getOrDefault(service, RetryUsage.NONE);
+    }
+
+    private static Map<ServiceId, RetryUsage> retriesOf(PoolNews news) {
+        Map<ServiceId, RetryUsage> retries = new HashMap<>();
+        news.getRetriesList()
+                .forEach(usage -> retries.put(
+                        new ServiceId(usage.getService()), new RetryUsage(usage.getRequests(), usage.getRetries())));
+        return retries;
     }
 
     private int sum(int server) {
@@ -130,7 +168,9 @@
      * What a peer told last.
      *
      * @param inFlight its requests in flight by the hash of the server
+     * @param retries its retry budgets; empty if it is in another zone
      * @param validUntilNanos when this is forgotten
      */
-    private record PeerLoads(Map<Integer, Integer> inFlight, long validUntilNanos) {}
+    private record PeerLoads(
+            Map<Integer, Integer> inFlight, Map<ServiceId, RetryUsage> retries, long validUntilNanos) {}
 }
--- a/daemon/src/main/java/org/heatherreach/daemon/site/SiteCatalog.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/SiteCatalog.java
@@ -1,9 +1,11 @@
 package org.heatherreach.daemon.site;
 
 import java.util.Objects;
-import java.util.function.IntSupplier;
+import java.util.function.DoubleSupplier;
+import java.util.function.Function;
 
 import io.vavr.control.Option;
+import org.heatherreach.coordination.rank.RetryUsage;
 import org.heatherreach.state.id.ServiceId;
 import org.heatherreach.state.rank.Rank;
 import org.heatherreach.state.table.RankLimits;
@@ -11,8 +13,8 @@
 import org.heatherreach.transport.http.ServiceCatalog;
 
 /**
- * Limits of services as the routes in use and the settings state them. Each daemon spends its part of the retry budget of
- * the fleet. Safe for use by any thread.
+ * Limits of services as the routes in use and the settings state them. The daemons of a zone share the
+ * part of the fleet's retry budget that falls to them. Safe for use by any thread.
  */
 final class SiteCatalog implements ServiceCatalog {
     /** The part of the share that is spent; the rest covers windows that do not lie alike. */
@@ -25,12 +27,18 @@
 
     private final TableInUse table;
     private final SiteSettings settings;
-    private final IntSupplier daemonCount;
+    private final DoubleSupplier zoneShare;
+    private final Function<ServiceId, RetryUsage> peerRetries;
 
-    SiteCatalog(TableInUse table, SiteSettings settings, IntSupplier daemonCount) {
+    SiteCatalog(
+            TableInUse table,
+            SiteSettings settings,
+            DoubleSupplier zoneShare,
+            Function<ServiceId, RetryUsage> peerRetries) {
         this.table = Objects.requireNonNull(table, "table");
         this.settings = Objects.requireNonNull(settings, "settings");
-        this.daemonCount = Objects.requireNonNull(daemonCount, "daemonCount");
+        this.zoneShare = Objects.requireNonNull(zoneShare, "zoneShare");
+        this.peerRetries = Objects.requireNonNull(peerRetries, "peerRetries");
     }
 
     @Override
@@ -53,6 +61,11 @@
 
     @Override
     public int retrySlack(ServiceId service) {
-        return (int) (settings.retrySlack() * USED_SLACK / daemonCount.getAsInt());
+        return (int) (settings.retrySlack() * USED_SLACK * zoneShare.getAsDouble());
+    }
+
+    @Override
+    public RetryUsage peerRetries(ServiceId service) {
+        return peerRetries.apply(service);
     }
 }
--- a/daemon/src/main/java/org/heatherreach/daemon/site/SiteDaemon.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/SiteDaemon.java
@@ -17,11 +17,13 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.vavr.control.Option;
+import org.heatherreach.coordination.rank.RetryUsage;
 import org.heatherreach.daemon.RequestIdSource;
 import org.heatherreach.protocol.kv.KeyRange;
 import org.heatherreach.protocol.peer.wire.DaemonEntry;
 import org.heatherreach.protocol.peer.wire.PoolNews;
 import org.heatherreach.state.id.IncarnationId;
+import org.heatherreach.state.id.ServiceId;
 import org.heatherreach.transport.http.CallDialect;
 import org.heatherreach.transport.http.CallerServer;
 import org.heatherreach.transport.http.EndpointAnswer;
@@ -75,7 +77,7 @@
         thread.setDaemon(true);
         return thread;
     });
-    private final CallerServer front;
+    private volatile CallerServer front;
 
     /**
      * Starts a daemon.
@@ -97,7 +99,7 @@
         socket = new PacketSocket<>(group, new PeerCounters(registry), PoolNews.parser());
         PeerNews news = new PeerNews(socket, daemons, incarnation.value());
         scheduler = new PooledScheduler(settings.zone(), random.split(), RING_CAPACITY, news);
-        news.use(() -> scheduler);
+        news.use(() -> scheduler, this::retryUsage);
         servers = new ServerRegistry(codec, scheduler::changePool, System::nanoTime);
         Counter droppedLines = registry.counter("heatherreach.log.lines.dropped");
         RequestIdSource requestIds = new RequestIdSource(incarnation);
@@ -107,7 +109,7 @@
                 ProxyMode.FLEET,
                 limits(),
                 gate,
-                new SiteCatalog(table, settings, daemons::count),
+                new SiteCatalog(table, settings, daemons::zoneShare, news::peerRetries),
                 scheduler,
                 Option.none(),
                 ExchangeObserver.NONE,
@@ -159,6 +161,11 @@
         LOG.infof("daemon=%s state=stopped in-flight=%d", settings.daemon(), meters.inFlight());
     }
 
+    private Map<ServiceId, RetryUsage> retryUsage() {
+        CallerServer started = front;
+        return started == null ? Map.of() : started.retryUsage();
+    }
+
     private EndpointAnswer answerReadiness(SiteCodec codec, String target) {
         if (!target.startsWith(codec.readinessPath())) {
             return EndpointAnswer.text(404, "not found\n");
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -509,7 +509,11 @@
                 .map(limits -> limits.retryPercent())
                 .getOrElse(0);
         if (parts.mode() == ProxyMode.FLEET
-                && !budget.take(nowNanos, percent, parts.catalog().retrySlack(request.service()))) {
+                && !budget.take(
+                        nowNanos,
+                        percent,
+                        parts.catalog().retrySlack(request.service()),
+                        parts.catalog().peerRetries(request.service()))) {
             parts.meters().countRetryWithoutBudget();
             return false;
         }
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerServer.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerServer.java
@@ -10,6 +10,8 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import org.heatherreach.coordination.rank.RetryUsage;
+import org.heatherreach.state.id.ServiceId;
 import org.heatherreach.transport.metric.RequestMeters;
 import reactor.netty.DisposableServer;
 import reactor.netty.NettyPipeline;
@@ -33,6 +35,7 @@
     private final BackendClients clients;
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final AtomicInteger openConnections = new AtomicInteger();
+    private final ProxyHandler handler;
     private final DisposableServer server;
 
     /**
@@ -51,6 +54,7 @@
         this.meters = parts.meters();
         this.loops = LoopResources.create("http", 1, ioThreads, true);
         this.clients = new BackendClients(limits, meters, loops);
+        this.handler = new ProxyHandler(parts, clients, endpoints);
         this.server = HttpServer.create()
                 .bindAddress(() -> address)
                 .runOn(loops)
@@ -77,10 +81,15 @@
                     channel.pipeline().addFirst(CallerGuard.NAME, guard);
                     channel.pipeline().addAfter(NettyPipeline.HttpCodec, CallerGuard.TRACKER_NAME, guard.tracker());
                 })
-                .handle(new ProxyHandler(parts, clients, endpoints))
+                .handle(handler)
                 .bindNow();
     }
 
+    /** Returns the requests and repeats of each service in the window of its retry budget. */
+    public Map<ServiceId, RetryUsage> retryUsage() {
+        return handler.budgets().usage(System.nanoTime());
+    }
+
     /** Returns the port that the server listens on. */
     public int port() {
         return server.port();
--- a/transport/src/main/java/org/heatherreach/transport/http/ProxyHandler.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/ProxyHandler.java
@@ -46,6 +46,10 @@
         this.endpoints = Map.copyOf(endpoints);
     }
 
+    RetryBudgets budgets() {
+        return budgets;
+    }
+
     @Override
     public Publisher<Void> apply(HttpServerRequest request, HttpServerResponse response) {
         long arrivalNanos = System.nanoTime();
--- a/transport/src/main/java/org/heatherreach/transport/http/ServiceCatalog.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/ServiceCatalog.java
@@ -1,6 +1,7 @@
 package org.heatherreach.transport.http;
 
 import io.vavr.control.Option;
+import org.heatherreach.coordination.rank.RetryUsage;
 import org.heatherreach.state.id.ServiceId;
 import org.heatherreach.state.rank.Rank;
 import org.heatherreach.state.table.RankLimits;
@@ -17,8 +18,13 @@
     /** Returns the limits of a rank at a service; defaults if the table has no row for it. */
     RankLimits rankLimits(ServiceId service, Rank rank);
 
-    /** Returns how many repeats of a service's requests in a window this daemon may send whatever their share. */
+    /** Returns how many repeats of a service's requests are allowed in a window whatever their share. */
     default int retrySlack(ServiceId service) {
         return 0;
     }
+
+    /** Returns the requests and repeats of the daemons that share the retry budget with this one. */
+    default RetryUsage peerRetries(ServiceId service) {
+        return RetryUsage.NONE;
+    }
 }
