Send bookings to servers that have just answered, and keep large answers in the zone longer

Cause: a server that begins to fail was mostly found out by requests that must run once (three in four); a large answer from another zone costs more than its delay; one in fourteen downloads was repeated although its server was only a little slow. Change: daemons of a zone tell each other which servers answered; requests that may run twice go to the others first. Large answers wait a quarter of their time for their zone; the second try starts at 0.7 of the target latency.

--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerChoice.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerChoice.java
@@ -17,6 +17,12 @@
     private static final double FAR_COST = 0.3;
 
     private static final double COLD_COST = 0.6;
+    /**
+     * Requests that may run twice go to servers of which nobody heard lately, others to those that have just answered, so
+     * that a server that begins to fail is mostly found out by a request that can be repeated.
+     */
+    private static final double UNPROVED_COST = 0.35;
+
     private static final double TRIAL_COST = 3;
     /** An idempotent request finds out whether a server works again before others are sent there. */
     private static final double TRIAL_GAIN = 0.5;
@@ -24,8 +30,8 @@
     private static final double SUSPICION_COST = 2;
     /** A request that must run once waits so long for a server that is free of suspicion. */
     private static final long TRIAL_WAIT_NANOS = 300_000_000L;
-    /** A large answer waits so long for a server of its zone. */
-    private static final long FAR_WAIT_NANOS = 150_000_000L;
+    /** A large answer waits this part of its time for a server of its zone, since a far one costs more than its delay. */
+    private static final double FAR_WAIT_SHARE = 0.25;
 
     private static final double TRIED_COST = 100;
     /** Spreads the choices of daemons that see the same loads. */
@@ -81,7 +87,8 @@
         if (load.isOnTrial(nowNanos) && !request.idempotent() && waitedNanos < TRIAL_WAIT_NANOS) {
             return true;
         }
-        return request.largeAnswer() && !isNear(load) && outlook.nearUsable && waitedNanos < FAR_WAIT_NANOS;
+        double patienceNanos = FAR_WAIT_SHARE * (request.deadlineNanos() - request.submittedNanos());
+        return request.largeAnswer() && !isNear(load) && outlook.nearUsable && waitedNanos < patienceNanos;
     }
 
     private boolean isNear(ServerLoad load) {
@@ -96,6 +103,9 @@
         if (!load.isWarm(nowNanos)) {
             cost += COLD_COST;
         }
+        if (!load.isProved(nowNanos)) {
+            cost += request.idempotent() && request.tried().isEmpty() ? -UNPROVED_COST : UNPROVED_COST;
+        }
         boolean onTrial = load.isOnTrial(nowNanos);
         boolean probes =
                 onTrial && request.idempotent() && request.tried().isEmpty() && load.knownInFlight(nowNanos) == 0;
--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerLoad.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerLoad.java
@@ -28,6 +28,9 @@
 
     private static final double AVOID_EXPONENT = 1.5;
     private static final double AVOID_LIMIT_MILLIS = 4000;
+    /** A server that failed since its last answer goes unnoticed for about this long. */
+    private static final long PROOF_NANOS = 700_000_000L;
+
     private static final double HALF_LIFE_NANOS = 2e9;
     /** What a success leaves of the suspicion. */
     private static final double SUCCESS_FACTOR = 0.5;
@@ -35,6 +38,7 @@
     private final Map<Long, Long> pathFailureDeadlines = new HashMap<>();
     private final int hash;
     private PoolServer server;
+    private long answerNanos;
     private int inFlight;
     private double suspicion;
     private long suspicionNanos;
@@ -47,6 +51,7 @@
     ServerLoad(PoolServer server, long nowNanos) {
         this.server = server;
         this.hash = hashOf(server.id());
+        this.answerNanos = nowNanos - PROOF_NANOS;
         this.suspicionNanos = nowNanos;
         this.avoidDeadlineNanos = nowNanos;
         this.fullDeadlineNanos = nowNanos;
@@ -96,6 +101,7 @@
 
     void note(PoolResult result, long nowNanos) {
         if (result == PoolResult.SUCCESS) {
+            noteAnswer(nowNanos);
             suspicion = suspicion(nowNanos) * SUCCESS_FACTOR;
             suspicionNanos = nowNanos;
             onTrial = false;
@@ -127,6 +133,16 @@
         }
     }
 
+    /** Notes that the server answered a request, of this daemon or of a peer. */
+    void noteAnswer(long nowNanos) {
+        answerNanos = nowNanos;
+    }
+
+    /** Returns whether an answer shows that the server works now. */
+    boolean isProved(long nowNanos) {
+        return nowNanos - answerNanos < PROOF_NANOS;
+    }
+
     boolean isAvoided(long nowNanos) {
         return onTrial && avoidDeadlineNanos - nowNanos > 0;
     }
--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerPool.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerPool.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 
@@ -46,6 +48,7 @@
     private final TreeSet<PoolRequest> queue = new TreeSet<>(Comparator.comparingInt(PoolRequest::priority)
             .thenComparingLong(PoolRequest::deadlineNanos)
             .thenComparingLong(PoolRequest::ticket));
+    private final Set<Integer> newlyAnswered = new HashSet<>();
     private double serviceNanos = FIRST_SERVICE_NANOS;
 
     /**
@@ -110,6 +113,7 @@
         }
         ended.load.end();
         if (result == PoolResult.SUCCESS) {
+            newlyAnswered.add(ended.load.hash());
             double tookNanos = nowNanos - ended.beginNanos;
             serviceNanos += SERVICE_SMOOTHING * (tookNanos - serviceNanos);
         }
@@ -155,6 +159,15 @@
         return queue.isEmpty() ? List.of() : dispatchWaiting(nowNanos);
     }
 
+    /** Notes that servers answered requests of peers, by the hash of the server. */
+    public void notePeerAnswers(Set<Integer> answered, long nowNanos) {
+        for (ServerLoad load : servers.values()) {
+            if (answered.contains(load.hash())) {
+                load.noteAnswer(nowNanos);
+            }
+        }
+    }
+
     /** Adds how many requests this daemon has at each server where it has any, by the hash of the server. */
     public void addLoads(Map<Integer, Integer> requestsByHash) {
         for (ServerLoad load : servers.values()) {
@@ -164,6 +177,12 @@
         }
     }
 
+    /** Moves the servers that answered since the last call to a set, by the hash of the server. */
+    public void drainAnswers(Set<Integer> into) {
+        into.addAll(newlyAnswered);
+        newlyAnswered.clear();
+    }
+
     /** Refuses waiting requests that can no longer be served in time and notices servers that do not answer. */
     public List<PoolAction> tick(long nowNanos) {
         List<PoolAction> actions = new ArrayList<>();
--- a/coordination/src/test/java/org/heatherreach/coordination/balance/ServerPoolTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/balance/ServerPoolTest.java
@@ -148,6 +148,15 @@
                 .contains(new PoolAction.Report(new ServerId("a"), 1, PoolResult.SUCCESS));
     }
 
+    // Guards against a server that begins to fail being found out by bookings, which can not be repeated.
+    @Example
+    void findsOutFailingServersByRequestsThatMayRunTwice() {
+        pool.replace(List.of(server("a", NEAR, 1), server("b", NEAR, 1)), 0);
+        pool.notePeerAnswers(Set.of(ServerLoad.hashOf(new ServerId("a"))), 2 * SECOND);
+        assertThat(dispatch(request(false), 2 * SECOND)).isEqualTo(new ServerId("a"));
+        assertThat(dispatch(request(true), 2 * SECOND)).isEqualTo(new ServerId("b"));
+    }
+
     // Flood of the least urgent rank: an urgent request that arrives later gets the first slot that becomes free.
     @Example
     void givesAFreedSlotToTheMostUrgentRequest() {
--- a/daemon/src/main/java/org/heatherreach/daemon/site/PeerNews.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/PeerNews.java
@@ -73,12 +73,13 @@
     }
 
     @Override
-    public void reportLoads(Map<Integer, Integer> inFlight, boolean near) {
+    public void reportLoads(Map<Integer, Integer> inFlight, Set<Integer> answered, boolean near) {
         PoolNews.Builder news = PoolNews.newBuilder().setSender(incarnation).setHasLoads(true);
         inFlight.entrySet().stream()
                 .limit(LOADS_PER_PACKET)
                 .forEach(load -> news.addLoadedServers(load.getKey()).addInFlight(load.getValue()));
         if (near) {
+            news.addAllAnsweredServers(answered);
             ownRetries
                     .get()
                     .forEach((service, usage) -> news.addRetries(PoolRetries.newBuilder()
@@ -136,7 +137,7 @@
         }
         Map<Integer, Integer> sums = new HashMap<>();
         changed.forEach(server -> sums.put(server, sum(server)));
-        scheduler.get().notePeerLoads(sums);
+        scheduler.get().notePeerLoads(sums, Set.copyOf(news.getAnsweredServersList()));
         Map<ServiceId, RetryUsage> retries = new HashMap<>();
         loadsByPeer
                 .values()
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -53,7 +53,7 @@
     /** Nothing reached a server by a failed connection, so these have a limit of their own. */
     private static final int CONNECT_FAILURE_LIMIT = 5;
     /** The part of the target latency after which an idempotent request tries another server, so that it still fits. */
-    private static final double SLOW_SHARE = 0.55;
+    private static final double SLOW_SHARE = 0.7;
 
     private static final Logger LOG = Logger.getLogger(CallerExchange.class);
     private static final AtomicLong TICKETS = new AtomicLong();
--- a/transport/src/main/java/org/heatherreach/transport/http/PoolPeers.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/PoolPeers.java
@@ -1,6 +1,7 @@
 package org.heatherreach.transport.http;
 
 import java.util.Map;
+import java.util.Set;
 
 import org.heatherreach.coordination.balance.PoolResult;
 import org.heatherreach.state.id.ServerId;
@@ -14,7 +15,7 @@
         public void reportFailure(ServiceId service, ServerId server, long incarnation, PoolResult result) {}
 
         @Override
-        public void reportLoads(Map<Integer, Integer> inFlight, boolean near) {}
+        public void reportLoads(Map<Integer, Integer> inFlight, Set<Integer> answered, boolean near) {}
     };
 
     /** A server failed a request. */
@@ -24,7 +25,8 @@
      * The numbers of requests that this daemon has at servers now.
      *
      * @param inFlight the numbers by the hash of the server
+     * @param answered the servers that answered since the last report to these peers
      * @param near whether the peers of the own zone are told, else those of other zones
      */
-    void reportLoads(Map<Integer, Integer> inFlight, boolean near);
+    void reportLoads(Map<Integer, Integer> inFlight, Set<Integer> answered, boolean near);
 }
--- a/transport/src/main/java/org/heatherreach/transport/http/PooledScheduler.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/PooledScheduler.java
@@ -1,10 +1,12 @@
 package org.heatherreach.transport.http;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -143,10 +145,11 @@
         });
     }
 
-    /** Notes the numbers of requests that all peers have at servers, by the hash of the server. */
-    public void notePeerLoads(Map<Integer, Integer> inFlight) {
+    /** Notes the numbers of requests that all peers have at servers, and the servers that answered one of them. */
+    public void notePeerLoads(Map<Integer, Integer> inFlight, Set<Integer> answered) {
         duty.offer(() -> {
             long nowNanos = System.nanoTime();
+            pools.values().forEach(pool -> pool.decisions.notePeerAnswers(answered, nowNanos));
             pools.values()
                     .forEach(pool ->
                             apply(pool, pool.decisions.notePeerLoads(inFlight, nowNanos + LOAD_VALID_NANOS, nowNanos)));
@@ -195,8 +198,12 @@
     private boolean report(boolean near, boolean reportedBefore) {
         Map<Integer, Integer> loads = new HashMap<>();
         pools.values().forEach(pool -> pool.decisions.addLoads(loads));
+        Set<Integer> answered = new HashSet<>();
+        if (near) {
+            pools.values().forEach(pool -> pool.decisions.drainAnswers(answered));
+        }
         if (!loads.isEmpty() || reportedBefore) {
-            peers.reportLoads(loads, near);
+            peers.reportLoads(loads, answered, near);
         }
         return !loads.isEmpty();
     }
