--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerChoice.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerChoice.java
@@ -1,6 +1,9 @@
 package org.heatherreach.coordination.balance;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Objects;
 import java.util.random.RandomGenerator;
 
@@ -28,6 +31,8 @@
     private static final double TRIAL_GAIN = 0.5;
 
     private static final double SUSPICION_COST = 2;
+    /** So many servers are used at least, the least suspected first, since the others could not carry the load. */
+    private static final double USABLE_SHARE = 0.5;
     /** A request that must run once waits so long for a server that is free of suspicion. */
     private static final long TRIAL_WAIT_NANOS = 300_000_000L;
     /** A large answer waits this part of its time for a server of its zone, since a far one costs more than its delay. */
@@ -65,24 +70,28 @@
 
     private Outlook look(Collection<ServerLoad> servers, long nowNanos) {
         int usable = 0;
-        int nearUsable = 0;
+        boolean nearUsable = false;
+        List<Double> avoided = new ArrayList<>();
         for (ServerLoad load : servers) {
-            if (!load.isAvoided(nowNanos)) {
+            if (load.isAvoided(nowNanos)) {
+                avoided.add(load.suspicion(nowNanos));
+            } else {
                 usable++;
-                nearUsable += isNear(load) ? 1 : 0;
+                nearUsable |= isNear(load);
             }
         }
-        // When most servers are suspected, the suspicion says little, and the others could not carry the load.
-        return new Outlook(usable * 2 < servers.size(), nearUsable > 0);
+        int missing = (int) Math.ceil(servers.size() * USABLE_SHARE) - usable;
+        if (missing <= 0) {
+            return new Outlook(-1, nearUsable);
+        }
+        avoided.sort(Comparator.naturalOrder());
+        return new Outlook(avoided.get(missing - 1), nearUsable);
     }
 
     private boolean waitsForAnother(ServerLoad load, PoolRequest request, Outlook outlook, long nowNanos) {
-        if (outlook.mostSuspected) {
-            return false;
-        }
         long waitedNanos = nowNanos - request.submittedNanos();
         if (load.isAvoided(nowNanos)) {
-            return true;
+            return load.suspicion(nowNanos) > outlook.suspicionLimit;
         }
         if (load.isOnTrial(nowNanos) && !request.idempotent() && waitedNanos < TRIAL_WAIT_NANOS) {
             return true;
@@ -123,8 +132,8 @@
     /**
      * The state of all servers at one choice.
      *
-     * @param mostSuspected whether more than half of them are avoided
+     * @param suspicionLimit avoided servers up to this suspicion are used all the same; negative if none are
      * @param nearUsable whether a server of the own zone is not avoided
      */
-    private record Outlook(boolean mostSuspected, boolean nearUsable) {}
+    private record Outlook(double suspicionLimit, boolean nearUsable) {}
 }
--- a/coordination/src/test/java/org/heatherreach/coordination/balance/ServerPoolTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/balance/ServerPoolTest.java
@@ -138,6 +138,20 @@
         assertThat(dispatch(request(false), MILLI)).isNotNull();
     }
 
+    // Gray servers at high load: two in five fail and one error elsewhere must not open the gates to all of them.
+    @Example
+    void usesTheLeastSuspectedHalfWhenMostAreSuspected() {
+        pool.replace(
+                List.of(server("a", NEAR, 1), server("b", NEAR, 1), server("c", NEAR, 1), server("d", NEAR, 1)), 0);
+        for (String id : List.of("a", "b", "c", "a", "b")) {
+            pool.notePeerFailure(7, new ServerId(id), 1, PoolResult.ERROR, 0);
+        }
+        for (int i = 0; i < 6; i++) {
+            assertThat(dispatch(request(false), MILLI)).isIn(new ServerId("c"), new ServerId("d"));
+        }
+        assertThat(submit(request(false), MILLI)).isEmpty();
+    }
+
     // Guards against every daemon having to try a server again itself: the first success is told to the peers.
     @Example
     void tellsThePeersThatASuspectedServerWorksAgain() {
