--- a/daemon/src/main/java/org/heatherreach/daemon/site/DaemonRegistry.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/DaemonRegistry.java
@@ -54,6 +54,7 @@
     private long leaseId;
     private boolean present;
     private boolean leaving;
+    private boolean readOnce;
     private boolean outage;
     private long lapseDeadlineNanos = System.nanoTime();
 
@@ -130,6 +131,11 @@
         return peers;
     }
 
+    /** Returns whether the daemons were read from the store. */
+    public synchronized boolean isRead() {
+        return readOnce;
+    }
+
     /** Returns the share of the daemons that is in the zone of this one, itself included. */
     public synchronized double zoneShare() {
         List<DaemonEntry> listed = listed();
@@ -149,6 +155,7 @@
             apply(value);
         }
         before.keySet().forEach(key -> end(key, all.revision()));
+        readOnce = true;
     }
 
     @Override
--- a/daemon/src/main/java/org/heatherreach/daemon/site/SiteDaemon.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/SiteDaemon.java
@@ -170,18 +170,25 @@
         if (!target.startsWith(codec.readinessPath())) {
             return EndpointAnswer.text(404, "not found\n");
         }
-        boolean ready = gate.isListed() && table.table().isDefined() && servers.isRead();
-        return EndpointAnswer.text(ready ? 200 : 503, gate.label() + "\n");
+        return EndpointAnswer.text(gate.isListed() && knowsSite() ? 200 : 503, gate.label() + "\n");
     }
 
     private EndpointAnswer answerDirectory(SiteCodec codec, String target) {
         if (!target.startsWith(codec.directoryPath())) {
             return EndpointAnswer.text(404, "not found\n");
         }
+        if (!knowsSite()) {
+            // Without the others' addresses callers had better ask another daemon, or keep what they know.
+            return EndpointAnswer.text(503, "the site is not known yet\n");
+        }
         byte[] body = codec.addresses(daemons.addresses(codec.callerZone(target)), settings.addressKeepMillis());
         return EndpointAnswer.json(200, new String(body, StandardCharsets.UTF_8));
     }
 
+    private boolean knowsSite() {
+        return table.table().isDefined() && servers.isRead() && daemons.isRead();
+    }
+
     private static void follow(
             KeyValueStore store, String prefix, SplittableRandom random, KeyFollower.Listener listener) {
         new KeyFollower(store, KeyRange.prefix(prefix), new Random(random.nextLong()), listener).start();
--- /dev/null
+++ b/daemon/src/test/java/org/heatherreach/daemon/site/DaemonRegistryTest.java
@@ -0,0 +1,132 @@
+package org.heatherreach.daemon.site;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.vavr.control.Either;
+import net.jqwik.api.Example;
+import org.heatherreach.protocol.kv.KeyRange;
+import org.heatherreach.protocol.kv.KeyValue;
+import org.heatherreach.protocol.kv.Lease;
+import org.heatherreach.protocol.kv.Operation;
+import org.heatherreach.protocol.kv.RangeResult;
+import org.heatherreach.protocol.kv.Transaction;
+import org.heatherreach.protocol.kv.TransactionResult;
+import org.heatherreach.protocol.kv.WatchEvent;
+import org.heatherreach.protocol.peer.wire.DaemonEntry;
+import org.heatherreach.transport.kv.KeyValueError;
+import org.heatherreach.transport.kv.KeyValueStore;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class DaemonRegistryTest {
+    private final RecordingStore store = new RecordingStore();
+    private final DaemonRegistry registry = new DaemonRegistry(store, entry("self", "a"));
+
+    // Guards against callers being sent across zones, and against an empty answer for a zone without daemons.
+    @Example
+    void listsTheDaemonsOfTheZoneOrAll() {
+        registry.replace(new RangeResult(5, List.of(value("one", "a", false, 2), value("two", "b", false, 3))));
+        assertThat(names("a")).containsExactlyInAnyOrder("self", "one");
+        assertThat(names("b")).containsExactly("two");
+        assertThat(names("c")).containsExactlyInAnyOrder("self", "one", "two");
+    }
+
+    // Guards against callers being sent to a daemon that stops.
+    @Example
+    void listsNoDaemonThatLeaves() {
+        registry.replace(new RangeResult(5, List.of(value("one", "a", false, 2), value("two", "a", false, 3))));
+        registry.put(value("one", "a", true, 6));
+        registry.leave();
+        assertThat(names("a")).containsExactly("two");
+        assertThat(store.puts).singleElement().matches(DaemonEntry::getLeaving);
+    }
+
+    // Guards against an empty directory when the leases of all daemons end while the store is away.
+    @Example
+    void keepsDaemonsWhoseLeaseEndedInAnOutage() {
+        registry.replace(new RangeResult(5, List.of(value("one", "a", false, 2))));
+        registry.lost(new KeyValueError.Unavailable("down"));
+        registry.replace(new RangeResult(9, List.of()));
+        assertThat(names("a")).containsExactlyInAnyOrder("self", "one");
+    }
+
+    // Guards against a dead daemon staying in the directory after its lease has ended in calm.
+    @Example
+    void dropsADaemonWhoseLeaseEndedInCalm() {
+        registry.replace(new RangeResult(5, List.of(value("one", "a", false, 2))));
+        registry.deleted(DaemonRegistry.PREFIX + "one", 7);
+        assertThat(names("a")).containsExactly("self");
+    }
+
+    private List<String> names(String zone) {
+        return registry.addresses(zone).stream()
+                .map(address -> address.daemon().value())
+                .toList();
+    }
+
+    private static DaemonEntry entry(String name, String zone) {
+        return DaemonEntry.newBuilder()
+                .setName(name)
+                .setZone(zone)
+                .setHost("127.0.0.1")
+                .setFrontPort(1)
+                .setPeerPort(2)
+                .build();
+    }
+
+    private static KeyValue value(String name, String zone, boolean leaving, long revision) {
+        byte[] bytes = entry(name, zone).toBuilder().setLeaving(leaving).build().toByteArray();
+        return new KeyValue(DaemonRegistry.PREFIX + name, bytes, 1, revision, 0, 0);
+    }
+
+    /** Records puts and accepts everything. */
+    private static final class RecordingStore implements KeyValueStore {
+        private final List<DaemonEntry> puts = new ArrayList<>();
+
+        @Override
+        public Mono<Either<KeyValueError, RangeResult>> range(KeyRange range, boolean keysOnly) {
+            return Mono.just(Either.right(new RangeResult(1, List.of())));
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, Long>> put(Operation.Put put) {
+            return Mono.fromCallable(() -> {
+                puts.add(DaemonEntry.parseFrom(put.value()));
+                return Either.right(1L);
+            });
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, Long>> delete(KeyRange range) {
+            return Mono.just(Either.right(1L));
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, TransactionResult>> transact(Transaction transaction) {
+            return Mono.just(Either.right(new TransactionResult(1, true, List.of())));
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, Lease>> grantLease(long ttlSeconds) {
+            return Mono.just(Either.right(new Lease(7, ttlSeconds)));
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, Lease>> keepAlive(long leaseId) {
+            return Mono.just(Either.right(new Lease(leaseId, 4)));
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, Long>> revokeLease(long leaseId) {
+            return Mono.just(Either.right(1L));
+        }
+
+        @Override
+        public Flux<Either<KeyValueError, WatchEvent>> watch(KeyRange range, long startRevision) {
+            return Flux.never();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/heatherreach/daemon/site/SiteSettingsFileTest.java
@@ -0,0 +1,66 @@
+package org.heatherreach.daemon.site;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import io.vavr.control.Either;
+import net.jqwik.api.Example;
+import org.heatherreach.daemon.SettingsError;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SiteSettingsFileTest {
+    private static final String GOOD = """
+            [daemon]
+            name = front-1
+            zone = a
+            region = r
+            [listen]
+            front = 127.0.0.1:1
+            readiness = 127.0.0.1:2
+            directory = 127.0.0.1:3
+            peer = 127.0.0.1:4
+            metrics = 127.0.0.1:5
+            [store]
+            address = 127.0.0.1:6
+            [addresses]
+            keep = 1.5s
+            [shutdown]
+            grace = 6000ms
+            [retries]
+            ratio = 0.2
+            slack = 56
+            """;
+
+    // Guards against a time that is read in the wrong unit.
+    @Example
+    void readsTimesWithTheirUnit() throws IOException {
+        SiteSettings settings = read(GOOD).get();
+        assertThat(settings.addressKeepMillis()).isEqualTo(1500);
+        assertThat(settings.graceMillis()).isEqualTo(6000);
+        assertThat(settings.retryPercent()).isEqualTo(20);
+    }
+
+    // Guards against a daemon that starts with a setting that was misspelled or left out.
+    @Example
+    void namesEveryFaultAtOnce() throws IOException {
+        String bad = GOOD.replace("keep = 1.5s", "keep = 15")
+                .replace("front = 127.0.0.1:1\n", "")
+                .replace("slack", "slak");
+        assertThat(read(bad).getLeft())
+                .extracting(SettingsError::key)
+                .containsExactlyInAnyOrder("keep", "front", "slak");
+    }
+
+    private static Either<List<SettingsError>, SiteSettings> read(String text) throws IOException {
+        Path file = Files.createTempFile("site", ".ini");
+        try {
+            Files.writeString(file, text);
+            return SiteSettingsFile.read(file);
+        } finally {
+            Files.delete(file);
+        }
+    }
+}
