--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerChoice.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerChoice.java
@@ -37,6 +37,8 @@
     private static final long TRIAL_WAIT_NANOS = 300_000_000L;
     /** A large answer waits this part of its time for a server of its zone, since a far one costs more than its delay. */
     private static final double FAR_WAIT_SHARE = 0.25;
+    /** Three errors within seconds: a server that is not worth waiting for. */
+    private static final double HOPELESS_SUSPICION = 2.5;
 
     private static final double TRIED_COST = 100;
     /** Spreads the choices of daemons that see the same loads. */
@@ -70,22 +72,22 @@
 
     private Outlook look(Collection<ServerLoad> servers, long nowNanos) {
         int usable = 0;
-        boolean nearUsable = false;
+        boolean nearHopeful = false;
         List<Double> avoided = new ArrayList<>();
         for (ServerLoad load : servers) {
             if (load.isAvoided(nowNanos)) {
                 avoided.add(load.suspicion(nowNanos));
             } else {
                 usable++;
-                nearUsable |= isNear(load);
             }
+            nearHopeful |= isNear(load) && load.suspicion(nowNanos) < HOPELESS_SUSPICION;
         }
         int missing = (int) Math.ceil(servers.size() * USABLE_SHARE) - usable;
         if (missing <= 0) {
-            return new Outlook(-1, nearUsable);
+            return new Outlook(-1, nearHopeful);
         }
         avoided.sort(Comparator.naturalOrder());
-        return new Outlook(avoided.get(missing - 1), nearUsable);
+        return new Outlook(avoided.get(missing - 1), nearHopeful);
     }
 
     private boolean waitsForAnother(ServerLoad load, PoolRequest request, Outlook outlook, long nowNanos) {
@@ -97,7 +99,7 @@
             return true;
         }
         double patienceNanos = FAR_WAIT_SHARE * (request.deadlineNanos() - request.submittedNanos());
-        return request.largeAnswer() && !isNear(load) && outlook.nearUsable && waitedNanos < patienceNanos;
+        return request.largeAnswer() && !isNear(load) && outlook.nearHopeful && waitedNanos < patienceNanos;
     }
 
     private boolean isNear(ServerLoad load) {
@@ -133,7 +135,7 @@
      * The state of all servers at one choice.
      *
      * @param suspicionLimit avoided servers up to this suspicion are used all the same; negative if none are
-     * @param nearUsable whether a server of the own zone is not avoided
+     * @param nearHopeful whether a server of the own zone works or may soon do so again
      */
-    private record Outlook(double suspicionLimit, boolean nearUsable) {}
+    private record Outlook(double suspicionLimit, boolean nearHopeful) {}
 }
