--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerPool.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerPool.java
@@ -33,6 +33,9 @@
     /** Requests that wait for a certain server let so many others pass, which bounds the work of one event. */
     private static final int PASSED_OVER_LIMIT = 32;
 
+    /** Once a request has waited this part of its time, those behind it are refused at once instead of held in vain. */
+    private static final double BACKLOG_SHARE = 0.3;
+
     private static final double FIRST_SERVICE_NANOS = 200e6;
     private static final double SERVICE_SMOOTHING = 0.05;
     /** A request that takes this many times the mean is taken as evidence of a stall. */
@@ -94,7 +97,8 @@
         long waitNanos = expectedWaitNanos(queue.headSet(request).size());
         if (queue.size() >= QUEUE_LIMIT) {
             actions.add(new PoolAction.Refuse(request.ticket(), RefusalReason.QUEUE_FULL, hint.drawMillis(waitNanos)));
-        } else if (nowNanos + waitNanos + (long) serviceNanos - request.deadlineNanos() > 0) {
+        } else if (nowNanos + waitNanos + (long) serviceNanos - request.deadlineNanos() > 0
+                || isBackedUp(request.priority(), nowNanos)) {
             actions.add(new PoolAction.Refuse(
                     request.ticket(), RefusalReason.DEADLINE_UNREACHABLE, hint.drawMillis(waitNanos)));
         } else {
@@ -223,6 +227,17 @@
         }
     }
 
+    /** Returns whether an equally or more urgent request has waited so long that a new one would not be served in time. */
+    private boolean isBackedUp(int priority, long nowNanos) {
+        for (PoolRequest earlier : queue) {
+            double patienceNanos = BACKLOG_SHARE * (earlier.deadlineNanos() - earlier.submittedNanos());
+            if (earlier.priority() <= priority && nowNanos - earlier.submittedNanos() > patienceNanos) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private long expectedWaitNanos(int ahead) {
         return (long) ((ahead + 1) * serviceNanos / Math.max(1, running.size()));
     }
--- a/coordination/src/test/java/org/heatherreach/coordination/balance/ServerPoolTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/balance/ServerPoolTest.java
@@ -201,6 +201,23 @@
                         refusal -> assertThat(refusal.reason()).isEqualTo(RefusalReason.DEADLINE_UNREACHABLE));
     }
 
+    // Long overload: rechecks that wait behind urgent work are refused on arrival, not held until their deadline.
+    @Example
+    void refusesOnArrivalWhileEarlierRequestsWaitInVain() {
+        pool.replace(List.of(server("a", NEAR, 1)), 0);
+        for (int i = 0; i < 3; i++) {
+            dispatch(request(true, 0, 100 * SECOND), 0);
+        }
+        assertThat(submit(request(true, 2, 10 * SECOND), 0)).isEmpty();
+        assertThat(submit(request(true, 2, 12 * SECOND), 2 * SECOND)).isEmpty();
+        assertThat(submit(request(true, 2, 14 * SECOND), 4 * SECOND))
+                .singleElement()
+                .isInstanceOf(PoolAction.Refuse.class);
+        assertThat(submit(request(true, 1, 14 * SECOND), 4 * SECOND))
+                .as("more urgent work")
+                .isEmpty();
+    }
+
     // Guards against large answers crossing zones while a server of the own zone has room.
     @Example
     void keepsLargeAnswersInTheZone() {
