Try a suspected server with one request at a time

Change: the end of the avoidance is spread over 0.2 s, and a server on trial has room for one request.

--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerLoad.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerLoad.java
@@ -26,6 +26,9 @@
     /** The time for which a server is avoided after one error; it grows with the suspicion. */
     private static final double AVOID_MILLIS = 800;
 
+    /** Long against the time in which the first result of a trial reaches the peers. */
+    private static final double AVOID_SPREAD_MILLIS = 200;
+
     private static final double AVOID_EXPONENT = 1.5;
     private static final double AVOID_LIMIT_MILLIS = 4000;
     /** A server that failed since its last answer goes unnoticed for about this long. */
@@ -99,7 +102,12 @@
         return inFlight + (peerDeadlineNanos - nowNanos > 0 ? peerInFlight : 0);
     }
 
-    void note(PoolResult result, long nowNanos) {
+    /**
+     * Notes how a request ended.
+     *
+     * @param spread a number from 0 to 1 that differs between daemons, so that they do not try a server again together
+     */
+    void note(PoolResult result, double spread, long nowNanos) {
         if (result == PoolResult.SUCCESS) {
             noteAnswer(nowNanos);
             suspicion = suspicion(nowNanos) * SUCCESS_FACTOR;
@@ -112,7 +120,8 @@
             suspicionNanos = nowNanos;
             onTrial = true;
             double avoidMillis = Math.min(AVOID_LIMIT_MILLIS, AVOID_MILLIS * Math.pow(suspicion, AVOID_EXPONENT));
-            long deadlineNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos((long) avoidMillis);
+            long deadlineNanos =
+                    nowNanos + TimeUnit.MILLISECONDS.toNanos((long) (avoidMillis + spread * AVOID_SPREAD_MILLIS));
             if (deadlineNanos - avoidDeadlineNanos > 0) {
                 avoidDeadlineNanos = deadlineNanos;
             }
@@ -120,16 +129,16 @@
     }
 
     /** Notes what a peer observed; a fault that may lie on its path counts only once several peers see it. */
-    void notePeerFailure(long peer, PoolResult result, long nowNanos) {
+    void notePeerFailure(long peer, PoolResult result, double spread, long nowNanos) {
         if (!result.mayConcernPathOnly()) {
-            note(result, nowNanos);
+            note(result, spread, nowNanos);
             return;
         }
         pathFailureDeadlines.values().removeIf(deadline -> deadline - nowNanos <= 0);
         pathFailureDeadlines.put(peer, nowNanos + TimeUnit.MILLISECONDS.toNanos(PATH_EVIDENCE_MILLIS));
         if (pathFailureDeadlines.size() >= PATH_WITNESSES) {
             pathFailureDeadlines.clear();
-            note(result, nowNanos);
+            note(result, spread, nowNanos);
         }
     }
 
@@ -157,7 +166,9 @@
     }
 
     boolean isFull(long nowNanos) {
-        return knownInFlight(nowNanos) >= server.slots() || fullDeadlineNanos - nowNanos > 0;
+        // One request finds out whether a suspected server works again.
+        int room = isOnTrial(nowNanos) ? 1 : server.slots();
+        return knownInFlight(nowNanos) >= room || fullDeadlineNanos - nowNanos > 0;
     }
 
     boolean isWarm(long nowNanos) {
--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerPool.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerPool.java
@@ -44,6 +44,7 @@
     private static final long STALL_MIN_NANOS = 1_000_000_000L;
 
     private final ServerChoice choice;
+    private final RandomGenerator random;
     private final RetryHint hint;
     private final Map<ServerId, ServerLoad> servers = new LinkedHashMap<>();
     private final Map<Long, Running> running = new HashMap<>();
@@ -62,6 +63,7 @@
      */
     public ServerPool(ZoneId zone, RandomGenerator random) {
         this.choice = new ServerChoice(Objects.requireNonNull(zone, "zone"), random);
+        this.random = random;
         this.hint = new RetryHint(random);
     }
 
@@ -143,7 +145,7 @@
     public void notePeerFailure(long peer, ServerId id, long incarnation, PoolResult result, long nowNanos) {
         ServerLoad load = servers.get(id);
         if (load != null && load.server().incarnation() == incarnation) {
-            load.notePeerFailure(peer, result, nowNanos);
+            load.notePeerFailure(peer, result, random.nextDouble(), nowNanos);
         }
     }
 
@@ -221,7 +223,7 @@
 
     private void note(ServerLoad load, PoolResult result, long nowNanos, List<PoolAction> actions) {
         boolean cleared = result == PoolResult.SUCCESS && load.isOnTrial(nowNanos);
-        load.note(result, nowNanos);
+        load.note(result, random.nextDouble(), nowNanos);
         if (result.isFailure() || cleared) {
             actions.add(new PoolAction.Report(load.server().id(), load.server().incarnation(), result));
         }
--- a/coordination/src/test/java/org/heatherreach/coordination/balance/ServerPoolTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/balance/ServerPoolTest.java
@@ -152,6 +152,18 @@
         assertThat(submit(request(false), MILLI)).isEmpty();
     }
 
+    // Guards against a herd of requests at a server on the chance that it works again.
+    @Example
+    void triesASuspectedServerWithOneRequestAtATime() {
+        pool.replace(List.of(server("a", NEAR, 1), server("b", FAR, 1)), 0);
+        pool.notePeerFailure(7, new ServerId("a"), 1, PoolResult.ERROR, 0);
+        List<ServerId> used = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            used.add(dispatch(request(true), 2 * SECOND));
+        }
+        assertThat(used).filteredOn(new ServerId("a")::equals).hasSize(1);
+    }
+
     // Guards against every daemon having to try a server again itself: the first success is told to the peers.
     @Example
     void tellsThePeersThatASuspectedServerWorksAgain() {
