Decide on repeats in a class of its own

Change: RepeatLimits counts attempts and failed connections and takes repeats out of the budget. No behaviour changes.

--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -50,8 +50,6 @@
     private static final long KEY_RUNNING_RETRY_MILLIS = 1000;
 
     private static final int SERVER_ERROR_STATUS = 500;
-    /** Nothing reached a server by a failed connection, so these have a limit of their own. */
-    private static final int CONNECT_FAILURE_LIMIT = 5;
     /** The part of the target latency after which an idempotent request tries another server, so that it still fits. */
     private static final double SLOW_SHARE = 0.7;
 
@@ -73,7 +71,7 @@
 
     private final ProxyParts parts;
     private final BackendClients clients;
-    private final RetryBudget budget;
+    private final RepeatLimits repeats;
     private final CallerRequest request;
     private final HttpServerRequest inbound;
     private final HttpServerResponse outbound;
@@ -100,8 +98,6 @@
     private volatile long progressNanos;
     private ScheduledFuture<?> deadlineTimer;
     private volatile ScheduledFuture<?> stallTimer;
-    private int attempts;
-    private int connectFailures;
     private ScheduledFuture<?> slowTimer;
 
     CallerExchange(
@@ -114,12 +110,12 @@
             Channel channel) {
         this.parts = Objects.requireNonNull(parts, "parts");
         this.clients = Objects.requireNonNull(clients, "clients");
-        this.budget = Objects.requireNonNull(budget, "budget");
         this.request = Objects.requireNonNull(request, "request");
         this.inbound = Objects.requireNonNull(inbound, "inbound");
         this.outbound = Objects.requireNonNull(outbound, "outbound");
         this.channel = Objects.requireNonNull(channel, "channel");
         this.guard = channel.pipeline().get(CallerGuard.class);
+        this.repeats = new RepeatLimits(parts, request, budget);
         this.trace = new RequestTrace(parts.history(), request);
         this.keyUndecided = request.key().isDefined();
     }
@@ -279,7 +275,7 @@
         if (!enter(Phase.QUEUED)) {
             return Mono.never();
         }
-        attempts++;
+        repeats.countAttempt();
         long ticket = TICKETS.incrementAndGet();
         return Mono.<ScheduleDecision>create(sink -> {
                     queuedTicket = ticket;
@@ -413,7 +409,7 @@
                             if (phase.get() == Phase.RUNNING
                                     && attempt == current
                                     && !current.hasAnswer()
-                                    && mayRepeat(RetryReason.SERVER_SLOW, current)) {
+                                    && repeats.allow(RetryReason.SERVER_SLOW, current)) {
                                 slow.tryEmitValue(true);
                                 current.abandon(FailureKind.STALLED);
                             }
@@ -431,7 +427,7 @@
 
     /** Sends an idempotent request to another server after an error answer, or relays that answer. */
     private Mono<Answer> afterError(BackendServer server, BackendAttempt failed, RequestBody body, Answer answer) {
-        if (phase.get() != Phase.RUNNING || !mayRepeat(RetryReason.SERVER_ERROR, failed)) {
+        if (phase.get() != Phase.RUNNING || !repeats.allow(RetryReason.SERVER_ERROR, failed)) {
             return claim(answer);
         }
         return repeat(RetryReason.SERVER_ERROR, server, body);
@@ -458,11 +454,10 @@
         earlierAttemptMayHaveRun |= failed.mayHaveRun();
         tried.add(server.id());
         if (failure.kind() == FailureKind.CONNECT) {
-            connectFailures++;
-            attempts--;
+            repeats.countConnectFailure();
         }
         RetryReason reason = retryReason(failure.kind());
-        if (reason != null && mayRepeat(reason, failed)) {
+        if (reason != null && repeats.allow(reason, failed)) {
             parts.meters().countRetry(reason);
             return schedule(body);
         }
@@ -491,35 +486,6 @@
         };
     }
 
-    private boolean mayRepeat(RetryReason reason, BackendAttempt failed) {
-        boolean safe = request.isSafe() && request.key().isEmpty();
-        long nowNanos = System.nanoTime();
-        if (attempts >= request.terms().attempts()
-                || connectFailures >= CONNECT_FAILURE_LIMIT
-                || !failed.isRepeatable()
-                || nowNanos - request.deadlineNanos() >= 0
-                || !parts.mode().mayRepeat(reason, safe)) {
-            return false;
-        }
-        if (reason == RetryReason.CONNECT_FAILED) {
-            return true;
-        }
-        int percent = parts.catalog()
-                .serviceLimits(request.service())
-                .map(limits -> limits.retryPercent())
-                .getOrElse(0);
-        if (parts.mode() == ProxyMode.FLEET
-                && !budget.take(
-                        nowNanos,
-                        percent,
-                        parts.catalog().retrySlack(request.service()),
-                        parts.catalog().peerRetries(request.service()))) {
-            parts.meters().countRetryWithoutBudget();
-            return false;
-        }
-        return true;
-    }
-
     /** Lets a whole response through unless the deadline passed first. */
     private Mono<Answer> claim(Answer answer) {
         if (answer instanceof Answer.Streamed || phase.compareAndSet(Phase.RUNNING, Phase.RELAYING)) {
