--- a/daemon/src/main/java/org/heatherreach/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/DaemonMain.java
@@ -2,7 +2,6 @@
 
 import java.nio.file.Path;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
@@ -70,19 +69,7 @@
             System.err.println("heatherreachd: cannot start: " + e.getMessage());
             return EXIT_FAILURE;
         }
-        // SIGTERM and SIGINT run the hook. Without the halt the exit status would be that of a killed process.
-        Runtime.getRuntime()
-                .addShutdownHook(new Thread(
-                        () -> {
-                            shutDown.run();
-                            Runtime.getRuntime().halt(0);
-                        },
-                        "shutdown"));
-        try {
-            new CountDownLatch(1).await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        ShutdownHook.runUntilStopped(shutDown);
         return 0;
     }
 
--- a/daemon/src/main/java/org/heatherreach/daemon/site/DaemonRegistry.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/DaemonRegistry.java
@@ -55,8 +55,7 @@
     private boolean present;
     private boolean leaving;
     private boolean readOnce;
-    private boolean outage;
-    private long lapseDeadlineNanos = System.nanoTime();
+    private final StoreDependency dependency = new StoreDependency("daemons", LAPSE_NANOS, System::nanoTime);
 
     /**
      * Creates a registry that knows only this daemon.
@@ -147,7 +146,7 @@
 
     @Override
     public synchronized void replace(RangeResult all) {
-        endOutage();
+        dependency.regain();
         Map<String, Entry> before = new HashMap<>(entries);
         present = false;
         for (KeyValue value : all.values()) {
@@ -160,35 +159,24 @@
 
     @Override
     public synchronized void put(KeyValue entry) {
-        endOutage();
+        dependency.regain();
         apply(entry);
     }
 
     @Override
     public synchronized void deleted(String key, long revision) {
-        endOutage();
+        dependency.regain();
         end(key, revision);
     }
 
     @Override
     public synchronized void current() {
-        endOutage();
+        dependency.regain();
     }
 
     @Override
     public synchronized void lost(KeyValueError error) {
-        if (!outage) {
-            outage = true;
-            LOG.warnf("dependency=store state=lost watched=daemons reason=\"%s\"", error.reason());
-        }
-    }
-
-    private void endOutage() {
-        if (outage) {
-            outage = false;
-            lapseDeadlineNanos = System.nanoTime() + LAPSE_NANOS;
-            LOG.info("dependency=store state=regained watched=daemons");
-        }
+        dependency.lose(error);
     }
 
     private void apply(KeyValue value) {
@@ -221,7 +209,7 @@
         if (known == null || known.revision > revision) {
             return;
         }
-        if (outage || lapseDeadlineNanos - System.nanoTime() > 0) {
+        if (dependency.mayReturn()) {
             known.lapsed = true;
         } else {
             entries.remove(key);
@@ -230,7 +218,7 @@
     }
 
     private List<DaemonEntry> listed() {
-        if (!outage && lapseDeadlineNanos - System.nanoTime() <= 0) {
+        if (!dependency.mayReturn()) {
             entries.values().removeIf(entry -> entry.lapsed);
         }
         List<DaemonEntry> listed = new ArrayList<>();
--- a/daemon/src/main/java/org/heatherreach/daemon/site/ServerRegistry.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/ServerRegistry.java
@@ -38,9 +38,8 @@
     private final LongSupplier nanoClock;
     private final Map<String, Entry> entries = new HashMap<>();
     private final Map<String, String> unreadable = new HashMap<>();
-    private boolean outage;
+    private final StoreDependency store;
     private boolean readOnce;
-    private long lapseDeadlineNanos;
 
     /** Takes the servers of a service. */
     @FunctionalInterface
@@ -60,12 +59,12 @@
         this.codec = Objects.requireNonNull(codec, "codec");
         this.sink = Objects.requireNonNull(sink, "sink");
         this.nanoClock = Objects.requireNonNull(nanoClock, "nanoClock");
-        this.lapseDeadlineNanos = nanoClock.getAsLong();
+        this.store = new StoreDependency("servers", LAPSE_NANOS, nanoClock);
     }
 
     @Override
     public synchronized void replace(RangeResult all) {
-        endOutage();
+        store.regain();
         Set<ServiceId> changed = new HashSet<>();
         Set<String> missing = new HashSet<>(entries.keySet());
         for (KeyValue value : all.values()) {
@@ -79,7 +78,7 @@
 
     @Override
     public synchronized void put(KeyValue value) {
-        endOutage();
+        store.regain();
         Set<ServiceId> changed = new HashSet<>();
         apply(value, changed);
         publish(changed);
@@ -87,7 +86,7 @@
 
     @Override
     public synchronized void deleted(String key, long revision) {
-        endOutage();
+        store.regain();
         Set<ServiceId> changed = new HashSet<>();
         end(key, revision, changed);
         publish(changed);
@@ -95,20 +94,17 @@
 
     @Override
     public synchronized void current() {
-        endOutage();
+        store.regain();
     }
 
     @Override
     public synchronized void lost(KeyValueError error) {
-        if (!outage) {
-            outage = true;
-            LOG.warnf("dependency=store state=lost watched=servers reason=\"%s\"", error.reason());
-        }
+        store.lose(error);
     }
 
     /** Drops registrations whose time to return has passed. Called every few hundred milliseconds. */
     public synchronized void tick() {
-        if (outage || lapseDeadlineNanos - nanoClock.getAsLong() > 0) {
+        if (store.mayReturn()) {
             return;
         }
         Set<ServiceId> changed = new HashSet<>();
@@ -129,15 +125,6 @@
         return readOnce;
     }
 
-    private void endOutage() {
-        long nowNanos = nanoClock.getAsLong();
-        if (outage) {
-            outage = false;
-            lapseDeadlineNanos = nowNanos + LAPSE_NANOS;
-            LOG.info("dependency=store state=regained watched=servers");
-        }
-    }
-
     private void apply(KeyValue value, Set<ServiceId> changed) {
         Entry known = entries.get(value.key());
         if (known != null && known.revision >= value.modRevision()) {
@@ -181,8 +168,7 @@
         if (known == null || known.revision > revision) {
             return;
         }
-        boolean mayReturn = outage || lapseDeadlineNanos - nanoClock.getAsLong() > 0;
-        if (mayReturn && !known.server.leaving()) {
+        if (store.mayReturn() && !known.server.leaving()) {
             known.lapsed = true;
             return;
         }
--- a/daemon/src/main/java/org/heatherreach/daemon/site/TableInUse.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/TableInUse.java
@@ -23,7 +23,7 @@
 
     private final SiteCodec codec;
     private volatile Option<RoutingTable> table = Option.none();
-    private boolean lost;
+    private final StoreDependency store = new StoreDependency("table", 0, System::nanoTime);
 
     /** Creates the holder of no routes. */
     public TableInUse(SiteCodec codec) {
@@ -37,13 +37,13 @@
 
     @Override
     public void replace(RangeResult all) {
-        regain();
+        store.regain();
         all.values().forEach(this::apply);
     }
 
     @Override
     public void put(KeyValue entry) {
-        regain();
+        store.regain();
         apply(entry);
     }
 
@@ -55,22 +55,12 @@
 
     @Override
     public void current() {
-        regain();
+        store.regain();
     }
 
     @Override
     public void lost(KeyValueError error) {
-        if (!lost) {
-            lost = true;
-            LOG.warnf("dependency=store state=lost watched=table reason=\"%s\"", error.reason());
-        }
-    }
-
-    private void regain() {
-        if (lost) {
-            lost = false;
-            LOG.info("dependency=store state=regained watched=table");
-        }
+        store.lose(error);
     }
 
     private void apply(KeyValue entry) {
