--- a/coordination/src/main/java/org/heatherreach/coordination/member/MemberList.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/member/MemberList.java
@@ -14,7 +14,6 @@
 import java.util.random.RandomGenerator;
 
 import org.heatherreach.state.id.IncarnationId;
-import org.heatherreach.state.id.ZoneId;
 
 /**
  * SWIM-style failure detection and membership.
@@ -36,21 +35,18 @@
 public final class MemberList implements Membership {
     private static final long SYNC_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     private static final long SUSPICION_NOTICE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-    /** Draws for one kind of helper; in a fleet of three equal zones all miss one of them once in 16,000 times. */
-    private static final int HELPER_DRAWS = 24;
-
     private static final long RELAY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final MemberSettings settings;
     private final ContactList contacts;
     private final RandomGenerator random;
-    private final TreeMap<IncarnationId, Entry> entries = new TreeMap<>();
-    private final Map<MemberAddress, Entry> byAddress = new HashMap<>();
-    private final List<Entry> reachable = new ArrayList<>();
+    private final TreeMap<IncarnationId, MemberEntry> entries = new TreeMap<>();
+    private final Map<MemberAddress, MemberEntry> byAddress = new HashMap<>();
+    private final PingRing ring;
     /** In the order of their deadlines, like the dead members, so that a tick looks only at those that are due. */
-    private final Map<IncarnationId, Entry> suspects = new LinkedHashMap<>();
+    private final Map<IncarnationId, MemberEntry> suspects = new LinkedHashMap<>();
 
-    private final Map<IncarnationId, Entry> deadMembers = new LinkedHashMap<>();
+    private final Map<IncarnationId, MemberEntry> deadMembers = new LinkedHashMap<>();
     private final Map<Long, Relay> relays = new HashMap<>();
     private final UpdateQueue queue = new UpdateQueue();
     private Member self;
@@ -58,7 +54,6 @@
     private long sequence;
 
     private Probe probe;
-    private int ringPosition;
     private int pingsSent;
     private long repairCursor = 1;
     private Sync sync;
@@ -99,6 +94,7 @@
         this.settings = Objects.requireNonNull(settings, "settings");
         this.self = Objects.requireNonNull(self, "self");
         this.random = Objects.requireNonNull(random, "random");
+        this.ring = new PingRing(random);
         this.contacts = new ContactList(seeds, random);
         if (self.state() != MemberState.ALIVE) {
             throw new IllegalArgumentException("a daemon starts alive");
@@ -187,7 +183,7 @@
         view = null;
         enqueue(self);
         // No later packet can repeat this one, so it goes to more members than other updates.
-        for (Entry entry : pick(2 * MemberSettings.PUSH_FANOUT, null)) {
+        for (MemberEntry entry : ring.pick(2 * MemberSettings.PUSH_FANOUT, null)) {
             actions.add(send(entry.member.address(), MemberPacket.Kind.ACK, 0, 0, 0));
         }
         return actions;
@@ -209,9 +205,9 @@
     @Override
     public MemberView view() {
         if (view == null) {
-            List<Member> members = new ArrayList<>(reachable.size() + 1);
+            List<Member> members = new ArrayList<>(ring.size() + 1);
             // The entries are sorted already, which makes the sort of the view cheap.
-            for (Entry entry : entries.values()) {
+            for (MemberEntry entry : entries.values()) {
                 if (entry.member.state().isReachable()) {
                     members.add(entry.member);
                 }
@@ -248,7 +244,7 @@
         relays.clear();
         nextPingNanos = nowNanos;
         lastHeardNanos += gapNanos;
-        for (Entry suspect : suspects.values()) {
+        for (MemberEntry suspect : suspects.values()) {
             suspect.deadlineNanos += gapNanos;
         }
         if (self.state() == MemberState.ALIVE) {
@@ -258,9 +254,9 @@
     }
 
     private void hearDirectly(Member sender, TableBeacon beacon, long nowNanos, List<MemberAction> actions) {
-        Entry other = byAddress.get(sender.address());
+        MemberEntry other = byAddress.get(sender.address());
         merge(sender, true, nowNanos, actions);
-        Entry entry = entries.get(sender.incarnation());
+        MemberEntry entry = entries.get(sender.incarnation());
         if (entry == null) {
             return;
         }
@@ -287,9 +283,9 @@
             refute(update);
             return;
         }
-        Entry entry = entries.get(update.incarnation());
+        MemberEntry entry = entries.get(update.incarnation());
         if (entry == null) {
-            entry = new Entry(update, nowNanos);
+            entry = new MemberEntry(update, nowNanos);
             entries.put(update.incarnation(), entry);
             if (update.state().isReachable()) {
                 addReachable(entry);
@@ -334,7 +330,7 @@
         }
     }
 
-    private void apply(Entry entry, Member update, boolean spread, long nowNanos, List<MemberAction> actions) {
+    private void apply(MemberEntry entry, Member update, boolean spread, long nowNanos, List<MemberAction> actions) {
         Member before = entry.member;
         entry.member = update.withTableVersion(Math.max(update.tableVersion(), before.tableVersion()));
         suspects.remove(update.incarnation());
@@ -357,20 +353,20 @@
         }
     }
 
-    private void watchSuspect(Entry entry, long nowNanos) {
+    private void watchSuspect(MemberEntry entry, long nowNanos) {
         if (entry.member.state() == MemberState.SUSPECT) {
             entry.deadlineNanos = nowNanos + settings.suspicionNanos();
             suspects.put(entry.member.incarnation(), entry);
         }
     }
 
-    private void recordDead(Entry entry, long nowNanos) {
+    private void recordDead(MemberEntry entry, long nowNanos) {
         entry.deadlineNanos = nowNanos + settings.forgetNanos();
         deadMembers.remove(entry.member.incarnation());
         deadMembers.put(entry.member.incarnation(), entry);
     }
 
-    private void suspect(Entry entry, long nowNanos, List<MemberAction> actions) {
+    private void suspect(MemberEntry entry, long nowNanos, List<MemberAction> actions) {
         if (entry.member.state() == MemberState.ALIVE) {
             Member update = entry.member.with(MemberState.SUSPECT, entry.member.counter());
             apply(entry, update, true, nowNanos, actions);
@@ -382,7 +378,7 @@
         }
     }
 
-    private void declareDead(Entry entry, long nowNanos, List<MemberAction> actions) {
+    private void declareDead(MemberEntry entry, long nowNanos, List<MemberAction> actions) {
         Member update = entry.member.with(MemberState.DEAD, entry.member.counter());
         apply(entry, update, true, nowNanos, actions);
         enqueue(update);
@@ -393,8 +389,8 @@
         if (suspects.isEmpty() || isDeaf(nowNanos)) {
             return;
         }
-        List<Entry> due = null;
-        for (Entry suspect : suspects.values()) {
+        List<MemberEntry> due = null;
+        for (MemberEntry suspect : suspects.values()) {
             if (nowNanos - suspect.deadlineNanos < 0) {
                 break;
             }
@@ -402,7 +398,7 @@
             due.add(suspect);
         }
         if (due != null) {
-            for (Entry entry : due) {
+            for (MemberEntry entry : due) {
                 declareDead(entry, nowNanos, actions);
             }
         }
@@ -415,9 +411,9 @@
 
     private void forget(long nowNanos) {
         if (!deadMembers.isEmpty()) {
-            Iterator<Entry> dead = deadMembers.values().iterator();
+            Iterator<MemberEntry> dead = deadMembers.values().iterator();
             while (dead.hasNext()) {
-                Entry entry = dead.next();
+                MemberEntry entry = dead.next();
                 if (nowNanos - entry.deadlineNanos < 0) {
                     break;
                 }
@@ -434,7 +430,7 @@
         if (probe != null && !probe.acknowledged && !probe.indirect) {
             if (nowNanos - probe.sentNanos >= settings.ackTimeoutNanos()) {
                 probe.indirect = true;
-                for (Entry helper : pickHelpers(probe.entry)) {
+                for (MemberEntry helper : ring.pickHelpers(probe.entry, self.zone())) {
                     long target = probe.entry.member.incarnation().value();
                     actions.add(
                             send(helper.member.address(), MemberPacket.Kind.PING_REQUEST, probe.sequence, target, 0));
@@ -452,7 +448,7 @@
         if (nowNanos - nextPingNanos >= 0) {
             nextPingNanos = nowNanos + settings.pingIntervalNanos();
         }
-        Entry target = nextInRing();
+        MemberEntry target = ring.next();
         if (target != null) {
             boolean repair = ++pingsSent % MemberSettings.REPAIR_PERIOD == 0;
             probe = new Probe(target, ++sequence, nowNanos, repair);
@@ -465,29 +461,16 @@
         }
     }
 
-    private Entry nextInRing() {
-        if (reachable.isEmpty()) {
-            return null;
-        }
-        if (ringPosition >= reachable.size()) {
-            ringPosition = 0;
-            for (int i = reachable.size() - 1; i > 0; i--) {
-                swap(i, random.nextInt(i + 1));
-            }
-        }
-        return reachable.get(ringPosition++);
-    }
-
     private void continueSync(long nowNanos, List<MemberAction> actions) {
         if (sync == null && syncDue && nowNanos - syncAllowedNanos >= 0) {
             syncDue = false;
-            pick(1, null).forEach(entry -> startSync(entry.member.address(), nowNanos));
+            ring.pick(1, null).forEach(entry -> startSync(entry.member.address(), nowNanos));
         }
         if (sync == null || nowNanos - sync.sentNanos < SYNC_RETRY_NANOS) {
             return;
         }
         if (++sync.failures > 2) {
-            List<Entry> others = pick(1, null);
+            List<MemberEntry> others = ring.pick(1, null);
             if (others.isEmpty()) {
                 sync = null;
                 synced = false;
@@ -548,7 +531,7 @@
     private void contactDisputed(List<Member> page, List<MemberAction> actions) {
         List<Member> disputed = new ArrayList<>();
         for (Member update : page) {
-            Entry entry = entries.get(update.incarnation());
+            MemberEntry entry = entries.get(update.incarnation());
             if (entry != null
                     && entry.member.state() == MemberState.DEAD
                     && update.state().isLive()) {
@@ -566,7 +549,7 @@
         if (nowNanos - nextContactNanos < 0 || contacts.isEmpty()) {
             return;
         }
-        boolean alone = reachable.isEmpty();
+        boolean alone = ring.isEmpty();
         nextContactNanos = nowNanos + (alone ? settings.pingIntervalNanos() : settings.contactIntervalNanos());
         int wanted = alone ? MemberSettings.HELPERS : 1;
         for (MemberAddress address :
@@ -583,7 +566,7 @@
             return;
         }
         pushDue = false;
-        for (Entry entry : pick((int) Math.min(MemberSettings.PUSH_FANOUT, pushTokens), null)) {
+        for (MemberEntry entry : ring.pick((int) Math.min(MemberSettings.PUSH_FANOUT, pushTokens), null)) {
             pushTokens--;
             actions.add(send(entry.member.address(), MemberPacket.Kind.ACK, 0, 0, 0));
         }
@@ -598,7 +581,7 @@
         int room = MemberPacket.SIZE_LIMIT_BYTES
                 - MemberPacket.headerSizeBytes(ping.sequence(), self, ping.target(), 0, beacon());
         long next = 0;
-        for (Entry entry :
+        for (MemberEntry entry :
                 entries.tailMap(new IncarnationId(ping.target()), true).values()) {
             if (!entry.member.state().isReachable()) {
                 continue;
@@ -617,7 +600,7 @@
     }
 
     private void relay(MemberPacket request, long nowNanos, List<MemberAction> actions) {
-        Entry target = entries.get(new IncarnationId(request.target()));
+        MemberEntry target = entries.get(new IncarnationId(request.target()));
         if (target == null) {
             return;
         }
@@ -678,109 +661,33 @@
 
     private void enqueue(Member update) {
         // A daemon that has just started knows few members, but the VM list tells how many there will be.
-        int bits = 32 - Integer.numberOfLeadingZeros(Math.max(reachable.size(), contacts.listedSize()) + 1);
+        int bits = 32 - Integer.numberOfLeadingZeros(Math.max(ring.size(), contacts.listedSize()) + 1);
         queue.add(update, 2 * bits);
         pushDue = true;
     }
 
-    private List<Entry> pick(int count, Entry excluded) {
-        List<Entry> picked = new ArrayList<>(count);
-        for (int draw = 0; draw < 4 * count && picked.size() < count && !reachable.isEmpty(); draw++) {
-            Entry entry = reachable.get(random.nextInt(reachable.size()));
-            if (entry != excluded && !picked.contains(entry)) {
-                picked.add(entry);
-            }
-        }
-        return picked;
-    }
-
-    /**
-     * Picks members for indirect pings: as many as possible in zones that are neither this daemon's nor the target's,
-     * each in another zone; two in the only such zone; then one in the zone of this daemon or of the target. Helpers
-     * that are all in one zone fail together if one direction between that zone and an end is cut.
-     */
-    private List<Entry> pickHelpers(Entry target) {
-        List<Entry> helpers = new ArrayList<>(MemberSettings.HELPERS);
-        drawHelpers(helpers, MemberSettings.HELPERS, target, true, true);
-        drawHelpers(helpers, MemberSettings.HELPERS - 1, target, true, false);
-        drawHelpers(helpers, MemberSettings.HELPERS, target, false, true);
-        for (Entry entry : pick(MemberSettings.HELPERS, target)) {
-            if (helpers.size() < MemberSettings.HELPERS && !helpers.contains(entry)) {
-                helpers.add(entry);
-            }
-        }
-        return helpers;
-    }
-
-    private void drawHelpers(List<Entry> helpers, int wanted, Entry target, boolean third, boolean otherZone) {
-        ZoneId targetZone = target.member.zone();
-        for (int draw = 0; draw < HELPER_DRAWS && helpers.size() < wanted; draw++) {
-            Entry entry = reachable.get(random.nextInt(reachable.size()));
-            ZoneId zone = entry.member.zone();
-            boolean isThird = !zone.equals(targetZone) && !zone.equals(self.zone());
-            boolean fits = entry != target && entry.member.state() == MemberState.ALIVE && (isThird || !third);
-            if (fits && helpers.stream().noneMatch(helper -> helper == entry || otherZone && isIn(helper, zone))) {
-                helpers.add(entry);
-            }
-        }
-    }
-
-    private static boolean isIn(Entry entry, ZoneId zone) {
-        return entry.member.zone().equals(zone);
-    }
-
-    private void addReachable(Entry entry) {
-        entry.index = reachable.size();
-        reachable.add(entry);
-        // A random position among those not yet pinged in this round, so that new members are pinged soon.
-        int from = Math.min(ringPosition, entry.index);
-        swap(entry.index, from + random.nextInt(entry.index - from + 1));
+    private void addReachable(MemberEntry entry) {
+        ring.add(entry);
         byAddress.put(entry.member.address(), entry);
     }
 
-    private void removeReachable(Entry entry) {
-        int last = reachable.size() - 1;
-        swap(entry.index, last);
-        reachable.remove(last);
-        entry.index = -1;
+    private void removeReachable(MemberEntry entry) {
+        ring.remove(entry);
         byAddress.remove(entry.member.address(), entry);
         if (probe != null && probe.entry == entry) {
             probe = null;
         }
     }
 
-    private void swap(int a, int b) {
-        Entry first = reachable.get(a);
-        Entry second = reachable.get(b);
-        reachable.set(a, second);
-        reachable.set(b, first);
-        second.index = a;
-        first.index = b;
-    }
-
-    private static final class Entry {
-        private Member member;
-        /** The end of the suspicion of a suspect, or of the memory of a dead member. */
-        private long deadlineNanos;
-
-        private long suspicionNoticeAllowedNanos;
-        private int index = -1;
-
-        Entry(Member member, long nowNanos) {
-            this.member = member;
-            this.suspicionNoticeAllowedNanos = nowNanos;
-        }
-    }
-
     private static final class Probe {
-        private final Entry entry;
+        private final MemberEntry entry;
         private final long sequence;
         private final long sentNanos;
         private final boolean repair;
         private boolean indirect;
         private boolean acknowledged;
 
-        Probe(Entry entry, long sequence, long sentNanos, boolean repair) {
+        Probe(MemberEntry entry, long sequence, long sentNanos, boolean repair) {
             this.entry = entry;
             this.sequence = sequence;
             this.sentNanos = sentNanos;
