Follow the store across odd entries of other writers

Cause: an exception of a listener, or of the store client, ended the watch of the store for good (KeyFollower). The list of unreadable entries was never shortened.

--- a/daemon/src/main/java/org/heatherreach/daemon/site/DaemonRegistry.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/DaemonRegistry.java
@@ -178,7 +178,7 @@
         }
         try {
             DaemonEntry entry = DaemonEntry.parseFrom(value.value());
-            checkAddress(entry);
+            checkUsable(entry);
             entries.put(value.key(), new Entry(entry, value.modRevision()));
             LOG.infof("daemon=%s state=%s", entry.getName(), entry.getLeaving() ? "leaving" : "listed");
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
@@ -207,7 +207,10 @@
         }
     }
 
-    private static void checkAddress(DaemonEntry entry) {
+    private static void checkUsable(DaemonEntry entry) {
+        if (entry.getName().isBlank() || entry.getZone().isBlank()) {
+            throw new IllegalArgumentException("the entry has no name or no zone");
+        }
         boolean hostIsValid = NetUtil.createByteArrayFromIpAddressString(entry.getHost()) != null;
         if (!hostIsValid || !isPort(entry.getFrontPort()) || !isPort(entry.getPeerPort())) {
             throw new IllegalArgumentException("daemon " + entry.getName() + " has an invalid IP address or port");
--- a/daemon/src/main/java/org/heatherreach/daemon/site/ServerRegistry.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/ServerRegistry.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
@@ -72,6 +73,9 @@
             apply(value, changed);
         }
         missing.forEach(key -> applyDeletion(key, all.revision(), changed));
+        readErrorsByKey
+                .keySet()
+                .retainAll(all.values().stream().map(KeyValue::key).collect(Collectors.toSet()));
         loaded = true;
         publish(changed);
     }
@@ -86,6 +90,7 @@
     @Override
     void applyDeletion(String key, long revision) {
         Set<ServiceId> changed = new HashSet<>();
+        readErrorsByKey.remove(key);
         applyDeletion(key, revision, changed);
         publish(changed);
     }
@@ -117,6 +122,11 @@
                 .findFirst());
     }
 
+    /** Returns how many registrations in the store can't be read and are skipped. */
+    public synchronized int skippedCount() {
+        return readErrorsByKey.size();
+    }
+
     /** Returns whether the registrations have been read from the store at least once. */
     public synchronized boolean isLoaded() {
         return loaded;
--- a/daemon/src/main/java/org/heatherreach/daemon/site/SiteDaemon.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/SiteDaemon.java
@@ -116,6 +116,7 @@
         PeerUpdateSender sender = new PeerUpdateSender(socket, daemons, incarnation.value(), this::retryUsage);
         scheduler = new PooledScheduler(settings.zone(), random.split(), RING_CAPACITY, sender);
         servers = new ServerRegistry(codec, scheduler::changePool, System::nanoTime);
+        meterRegistry.gauge("heatherreach.registrations.skipped", servers, ServerRegistry::skippedCount);
         CrashMonitor crashes = new CrashMonitor(
                 new ConnectProbe(group, servers::address), sender, new Random(random.nextLong()), System::nanoTime);
         PeerUpdateReceiver receiver = new PeerUpdateReceiver(scheduler, crashes, sender);
--- a/daemon/src/test/java/org/heatherreach/daemon/site/DaemonRegistryTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/site/DaemonRegistryTest.java
@@ -72,6 +72,16 @@
         assertThat(names("a")).containsExactlyInAnyOrder("self", "one");
     }
 
+    // Guards against a directory that fails for every caller because one entry has a blank name or zone.
+    @Example
+    void skipsAnEntryWithoutANameOrAZone() {
+        KeyValue blankName = entryOf(entry(" ", "a"), 3);
+        KeyValue blankZone = entryOf(entry("three", ""), 4);
+        registry.replace(new RangeResult(5, List.of(value("one", "a", false, 2), blankName, blankZone)));
+        assertThat(names("a")).containsExactlyInAnyOrder("self", "one");
+        assertThat(names("b")).containsExactlyInAnyOrder("self", "one");
+    }
+
     private List<String> names(String zone) {
         return registry.addresses(zone).stream()
                 .map(address -> address.daemon().value())
--- a/daemon/src/test/java/org/heatherreach/daemon/site/ServerRegistryTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/site/ServerRegistryTest.java
@@ -75,6 +75,19 @@
         assertThat(offered.get("one")).containsExactly("a");
     }
 
+    // Guards against a count of unreadable registrations that never falls and memory that grows with each odd entry.
+    @Example
+    void forgetsAnUnreadableEntryOnceItIsRepairedOrDeleted() {
+        registry.replace(new RangeResult(10, List.of(entry("x", "?", 4), entry("y", "?", 5), entry("z", "?", 6))));
+        assertThat(registry.skippedCount()).isEqualTo(3);
+        registry.put(entry("x", "one 1 ready", 11));
+        registry.deleted("servers/y", 12);
+        assertThat(registry.skippedCount()).isEqualTo(1);
+        assertThat(offered.get("one")).containsExactly("x");
+        registry.replace(new RangeResult(20, List.of(entry("x", "one 1 ready", 11))));
+        assertThat(registry.skippedCount()).isZero();
+    }
+
     // Guards against applying a deletion after a newer registration. A read in pages is no snapshot, so it can return
     // the registration before the watch reports the older deletion.
     @Example
--- a/transport/src/main/java/org/heatherreach/transport/kv/KeyFollower.java
+++ b/transport/src/main/java/org/heatherreach/transport/kv/KeyFollower.java
@@ -9,6 +9,7 @@
 import org.heatherreach.protocol.kv.KeyValue;
 import org.heatherreach.protocol.kv.RangeResult;
 import org.heatherreach.protocol.kv.WatchEvent;
+import org.jboss.logging.Logger;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -17,12 +18,14 @@
  * Reports the keys of a range and their changes to a listener. Reads all keys once, then watches them, and reads
  * them again when the store has compacted changes that the watch has not reported.
  *
- * <p>Invariant: the listener is called sequentially.
+ * <p>Invariants: the listener is called sequentially; neither an exception of the listener nor one of the store client
+ * ends the watch.
  *
  * <p>Thread safety: {@link #start} is called once; {@link #close} may be called by any thread. The listener is
  * called by threads of the store client and must not block.
  */
 public final class KeyFollower implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger(KeyFollower.class);
     /**
      * The delays are short because the keys that the listener holds become stale while the store can't be read. The
      * number of attempts is not limited, so the attempt limit is unused.
@@ -76,17 +79,28 @@
     }
 
     private Flux<Object> readAndWatch() {
+        return readThenWatch().onErrorResume(error -> {
+            LOG.errorf(error, "The watch of the store failed; the keys are read again");
+            return retryAfterFailure(new KeyValueError.Unavailable(String.valueOf(error)));
+        });
+    }
+
+    private Flux<Object> retryAfterFailure(KeyValueError failure) {
+        notifyListener(() -> listener.storeFailed(failure));
+        failures++;
+        return Mono.delay(delay()).thenMany(Flux.empty());
+    }
+
+    private Flux<Object> readThenWatch() {
         return store.range(range, false).flatMapMany(result -> {
             if (result.isLeft()) {
-                listener.storeFailed(result.getLeft());
-                failures++;
-                return Mono.delay(delay()).thenMany(Flux.empty());
+                return retryAfterFailure(result.getLeft());
             }
             failures = 0;
-            listener.replace(result.get());
+            notifyListener(() -> listener.replace(result.get()));
             return store.watch(range, result.get().revision() + 1)
                     .takeUntil(KeyFollower::endsWatch)
-                    .doOnNext(this::deliver)
+                    .doOnNext(event -> notifyListener(() -> deliver(event)))
                     .ignoreElements()
                     .flux()
                     .cast(Object.class);
@@ -109,6 +123,15 @@
         }
     }
 
+    /** Calls the listener; a failure on one change must not hide the later ones. */
+    private static void notifyListener(Runnable call) {
+        try {
+            call.run();
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "A change of the store could not be applied and is skipped");
+        }
+    }
+
     private Duration delay() {
         synchronized (random) {
             return RETRY.delayAfter(failures, random);
