Obey what servers announce: their end, and a time of quiet

Cause: the platform's servers announce their end in every answer (Server-Leaving) and may ask for quiet with a 503 (Retry-After). The daemon ignored both, so it could send requests to a server that had told it that it leaves, until the store said so, and to one that had asked for quiet. Change: the dialect decodes both; ServerPool keeps them per start of a server (ServerNotices), also while the server is not listed. A leaving server gets nothing more from this daemon; peers take the report as a hint and use the server only when the others are full. A quiet server gets nothing until its deadline. If every server asks for quiet for longer than a request can wait, the request is refused at once, with the earliest moment that is true as the hint; otherwise it waits. Requests that wait when the last server leaves are refused at once.

--- a/coordination/src/main/java/org/heatherreach/coordination/balance/PoolResult.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/PoolResult.java
@@ -21,7 +21,9 @@
     /** The server shed the request because it was full. */
     SHED(0),
     /** The exchange ended for a reason that says nothing about the server. */
-    CANCELLED(0);
+    CANCELLED(0),
+    /** The server announced that it is about to stop. Only reported between daemons; no exchange ends with it. */
+    LEAVING(0);
 
     private final String label = name().toLowerCase(Locale.ROOT);
     private final double weight;
--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerLoad.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerLoad.java
@@ -41,6 +41,12 @@
      */
     private static final long RECENT_ANSWER_NANOS = 700_000_000L;
 
+    /**
+     * How long a server is avoided because a peer reported that it is leaving. By then the store shows it as leaving,
+     * or the report was wrong.
+     */
+    private static final long LEAVING_HINT_NANOS = TimeUnit.SECONDS.toNanos(5);
+
     private static final double SUSPICION_HALF_LIFE_NANOS = 2e9;
     /** The factor by which a success reduces the suspicion. */
     private static final double SUCCESS_SUSPICION_FACTOR = 0.5;
@@ -57,9 +63,13 @@
     private long fullDeadlineNanos;
     private int peerInFlight;
     private long peerLoadDeadlineNanos;
+    private long quietDeadlineNanos;
+    private long leavingHintDeadlineNanos;
 
     ServerLoad(PoolServer server, long nowNanos) {
         this.server = server;
+        this.quietDeadlineNanos = nowNanos;
+        this.leavingHintDeadlineNanos = nowNanos;
         this.hash = hashOf(server.id());
         this.lastAnswerNanos = nowNanos - RECENT_ANSWER_NANOS;
         this.suspicionUpdateNanos = nowNanos;
@@ -144,6 +154,10 @@
      * peers have observed it.
      */
     void notePeerResult(long peer, PoolResult result, double jitterFraction, long nowNanos) {
+        if (result == PoolResult.LEAVING) {
+            leavingHintDeadlineNanos = nowNanos + LEAVING_HINT_NANOS;
+            return;
+        }
         if (!result.mayBePathFailure()) {
             noteResult(result, jitterFraction, nowNanos);
             return;
@@ -166,6 +180,26 @@
         return nowNanos - lastAnswerNanos < RECENT_ANSWER_NANOS;
     }
 
+    /** Sets until when the server asked this daemon to send it no requests. */
+    void noteQuietUntil(long deadlineNanos) {
+        quietDeadlineNanos = deadlineNanos;
+    }
+
+    /** Returns whether the server has asked this daemon to send it no requests at present. */
+    boolean isQuiet(long nowNanos) {
+        return quietDeadlineNanos - nowNanos > 0;
+    }
+
+    /** Returns until when the server asked this daemon to send it no requests; a time in the past if it did not. */
+    long quietDeadlineNanos() {
+        return quietDeadlineNanos;
+    }
+
+    /** Returns whether a peer has reported recently that the server is about to stop. */
+    boolean isLeavingByHint(long nowNanos) {
+        return leavingHintDeadlineNanos - nowNanos > 0;
+    }
+
     /** Returns whether the server has failed and is not to be tried again yet. */
     boolean isAvoided(long nowNanos) {
         return suspected && avoidDeadlineNanos - nowNanos > 0;
@@ -181,7 +215,11 @@
         return suspicion * Math.pow(0.5, (nowNanos - suspicionUpdateNanos) / SUSPICION_HALF_LIFE_NANOS);
     }
 
+    /** Returns whether the server can take no request at present, because it is full or has asked for quiet. */
     boolean isFull(long nowNanos) {
+        if (isQuiet(nowNanos)) {
+            return true;
+        }
         // A single trial request tests whether a suspected server works again.
         int requestLimit = isHalfOpen(nowNanos) ? 1 : server.slots();
         return knownInFlight(nowNanos) >= requestLimit || fullDeadlineNanos - nowNanos > 0;
--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerPool.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerPool.java
@@ -10,6 +10,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 import org.heatherreach.coordination.admission.RetryHint;
@@ -22,7 +23,8 @@
  * the suspicion against servers that failed.
  *
  * <p>Invariants: this daemon never has more requests at a server than it has slots; each request that was submitted and
- * not cancelled is dispatched or refused once; a request waits only while it can still be served in time.
+ * not cancelled is dispatched or refused once; a request waits only while it can still be served in time; no request is
+ * dispatched to a server that announced its end to this daemon, or that asked it for quiet until a later time.
  *
  * <p>Confined to one duty thread.
  */
@@ -52,6 +54,7 @@
     private final ServerSelector selector;
     private final RandomGenerator random;
     private final RetryHint retryHint;
+    private final ServerNotices notices = new ServerNotices();
     private final Map<ServerId, ServerLoad> servers = new LinkedHashMap<>();
     private final Map<Long, RunningRequest> running = new HashMap<>();
     private final Map<Long, PoolRequest> waiting = new HashMap<>();
@@ -78,14 +81,18 @@
         Map<ServerId, ServerLoad> previousLoads = new HashMap<>(servers);
         servers.clear();
         for (PoolServer server : listed) {
+            if (notices.isLeaving(server)) {
+                continue;
+            }
             ServerLoad load = previousLoads.get(server.id());
             if (load == null || load.server().incarnation() != server.incarnation()) {
                 load = new ServerLoad(server, nowNanos);
+                load.noteQuietUntil(notices.quietDeadlineNanos(server, nowNanos));
             }
             load.updateDescription(server);
             servers.put(server.id(), load);
         }
-        return dispatchWaiting(nowNanos);
+        return servers.isEmpty() ? refuseWaiting(RefusalReason.NO_SERVER) : dispatchWaiting(nowNanos);
     }
 
     /** Submits a request. */
@@ -103,8 +110,12 @@
                     new PoolAction.Refuse(request.ticket(), RefusalReason.NO_SERVER, retryHint.randomDelayMillis(0)));
             return actions;
         }
-        long waitNanos = expectedWaitNanos(queue.headSet(request).size());
-        if (queue.size() >= QUEUE_LIMIT) {
+        long quietNanos = earliestUseNanos(nowNanos) - nowNanos;
+        long waitNanos = quietNanos + expectedWaitNanos(queue.headSet(request).size());
+        if (quietNanos > 0 && nowNanos + quietNanos + (long) meanServiceNanos - request.deadlineNanos() > 0) {
+            actions.add(
+                    new PoolAction.Refuse(request.ticket(), RefusalReason.SERVERS_SHED, retryAfterMillis(quietNanos)));
+        } else if (queue.size() >= QUEUE_LIMIT) {
             actions.add(new PoolAction.Refuse(
                     request.ticket(), RefusalReason.QUEUE_FULL, retryHint.randomDelayMillis(waitNanos)));
         } else if (nowNanos + waitNanos + (long) meanServiceNanos - request.deadlineNanos() > 0
@@ -139,6 +150,35 @@
         return actions;
     }
 
+    /**
+     * Records what a server announced in its answer to a dispatched request. The notice belongs to the incarnation of
+     * the server to which the request was dispatched; an answer to a request that has completed is ignored.
+     */
+    public List<PoolAction> recordNotice(long ticket, ServerNotice notice, long nowNanos) {
+        RunningRequest request = running.get(ticket);
+        if (request == null) {
+            return List.of();
+        }
+        PoolServer server = request.load.server();
+        boolean newlyLeaving = notices.record(server, notice);
+        // The server may have been listed anew since the dispatch, in the same start or in a later one.
+        ServerLoad listed = servers.get(server.id());
+        if (listed != null && listed.server().incarnation() == server.incarnation()) {
+            listed.noteQuietUntil(notices.quietDeadlineNanos(server, nowNanos));
+            if (newlyLeaving) {
+                servers.remove(server.id());
+            }
+        }
+        List<PoolAction> actions = new ArrayList<>();
+        if (newlyLeaving) {
+            actions.add(new PoolAction.Report(server.id(), server.incarnation(), PoolResult.LEAVING));
+        }
+        if (servers.isEmpty()) {
+            actions.addAll(refuseWaiting(RefusalReason.NO_SERVER));
+        }
+        return actions;
+    }
+
     /** Cancels a request that waits or was dispatched. */
     public List<PoolAction> cancel(long ticket, long nowNanos) {
         PoolRequest request = waiting.remove(ticket);
@@ -207,14 +247,17 @@
      */
     public List<PoolAction> refuseLate(long nowNanos) {
         List<PoolAction> actions = new ArrayList<>();
+        if (queue.isEmpty()) {
+            return actions;
+        }
         long minServiceNanos = (long) (meanServiceNanos / 2);
+        long useNanos = earliestUseNanos(nowNanos);
         for (PoolRequest request : List.copyOf(queue)) {
-            if (nowNanos + minServiceNanos - request.deadlineNanos() > 0) {
+            if (useNanos + minServiceNanos - request.deadlineNanos() > 0) {
                 queue.remove(request);
                 waiting.remove(request.ticket());
                 actions.add(new PoolAction.Refuse(
-                        request.ticket(), RefusalReason.DEADLINE_UNREACHABLE, retryHint.randomDelayMillis((long)
-                                meanServiceNanos)));
+                        request.ticket(), RefusalReason.DEADLINE_UNREACHABLE, retryAfterMillis(useNanos - nowNanos)));
             }
         }
         return actions;
@@ -266,6 +309,20 @@
         return false;
     }
 
+    /** Returns when the first server may get a request again, which is now unless every server has asked for quiet. */
+    private long earliestUseNanos(long nowNanos) {
+        long shortestQuietNanos = servers.values().stream()
+                .mapToLong(load -> Math.max(0, load.quietDeadlineNanos() - nowNanos))
+                .min()
+                .orElse(0);
+        return nowNanos + shortestQuietNanos;
+    }
+
+    /** Returns a delay after which a retry may succeed: the time of quiet and a random part of a service time. */
+    private long retryAfterMillis(long quietNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(quietNanos) + retryHint.randomDelayMillis((long) meanServiceNanos);
+    }
+
     private long expectedWaitNanos(int requestsAhead) {
         return (long) ((requestsAhead + 1) * meanServiceNanos / Math.max(1, running.size()));
     }
--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerSelector.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerSelector.java
@@ -27,6 +27,8 @@
     private static final double NO_RECENT_ANSWER_COST = 0.35;
 
     private static final double HALF_OPEN_COST = 3;
+    /** Keeps requests from a server that leaves according to a peer, unless the other servers are full. */
+    private static final double LEAVING_HINT_COST = 3;
     /**
      * Attracts one idempotent request, which tests whether a half-open server works again before others are sent to it.
      */
@@ -80,6 +82,9 @@
         boolean localZoneUsable = false;
         List<Double> avoidedSuspicions = new ArrayList<>();
         for (ServerLoad load : servers) {
+            if (load.isQuiet(nowNanos)) {
+                continue;
+            }
             if (load.isAvoided(nowNanos)) {
                 avoidedSuspicions.add(load.suspicion(nowNanos));
             } else {
@@ -87,7 +92,8 @@
             }
             localZoneUsable |= isInLocalZone(load) && load.suspicion(nowNanos) < LOCAL_ZONE_SUSPICION_LIMIT;
         }
-        int missingCount = (int) Math.ceil(servers.size() * MIN_USABLE_SHARE) - usableCount;
+        int minUsableCount = (int) Math.ceil(servers.size() * MIN_USABLE_SHARE);
+        int missingCount = Math.min(minUsableCount - usableCount, avoidedSuspicions.size());
         if (missingCount <= 0) {
             return new SelectionContext(-1, localZoneUsable);
         }
@@ -125,6 +131,9 @@
         if (!load.hasRecentAnswer(nowNanos)) {
             cost += request.idempotent() && request.tried().isEmpty() ? -NO_RECENT_ANSWER_COST : NO_RECENT_ANSWER_COST;
         }
+        if (load.isLeavingByHint(nowNanos)) {
+            cost += LEAVING_HINT_COST;
+        }
         boolean halfOpen = load.isHalfOpen(nowNanos);
         boolean isTrialRequest =
                 halfOpen && request.idempotent() && request.tried().isEmpty() && load.knownInFlight(nowNanos) == 0;
--- a/transport/src/main/java/org/heatherreach/transport/http/BackendAttempt.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/BackendAttempt.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.control.Option;
+import org.heatherreach.coordination.balance.ServerNotice;
 import org.heatherreach.protocol.http.CallHeaders;
 import org.heatherreach.state.id.ServerId;
 import org.heatherreach.state.outcome.Outcome;
@@ -39,7 +40,7 @@
     // Bodies of responses by which a server refuses a request are read up to 9,999 bytes, so that the connection can be
     // reused.
     private static final int MAX_DRAINED_LENGTH_DIGITS = 4;
-    private static final long MAX_RETRY_AFTER_SECONDS = 3600;
+    private static final long DEFAULT_RETRY_AFTER_MILLIS = 1000;
     private static final byte[] NO_BYTES = new byte[0];
 
     private final CallDialect dialect;
@@ -74,6 +75,9 @@
         /** Called when the head of the response has arrived. */
         default void responseStarted(HttpHeaders headers) {}
 
+        /** Called when the head of the server's response announces something about the server. */
+        default void serverAnnounced(ServerNotice notice) {}
+
         /** Called once when the exchange has ended. */
         void exchangeEnded(ExchangeResult result);
     }
@@ -235,6 +239,9 @@
                     new BackendFailure(
                             FailureKind.TRUNCATED, "the response carries the id of another request: " + echoedId, 0));
         }
+        if (server.isDefined() && kind != ResponseKind.MISDIRECTED) {
+            passOnNotice(response.responseHeaders());
+        }
         if (kind == ResponseKind.SHED || kind == ResponseKind.MISDIRECTED) {
             return drainRefusal(response, openConnection, kind);
         }
@@ -278,13 +285,24 @@
         return relay.relay(statusCode, headers, content.onErrorMap(this::toFailure));
     }
 
+    private void passOnNotice(HttpHeaders responseHeaders) {
+        ServerNotice notice = new ServerNotice(
+                dialect.announcesLeaving(responseHeaders),
+                dialect.quietMillis(statusCode, responseHeaders)
+                        .map(millis -> headArrivalNanos + TimeUnit.MILLISECONDS.toNanos(millis)));
+        if (!notice.isEmpty()) {
+            listener.serverAnnounced(notice);
+        }
+    }
+
     private Publisher<CallerResponse> drainRefusal(
             HttpClientResponse response, Connection openConnection, ResponseKind kind) {
         refusedByServer = true;
         BackendFailure failure = new BackendFailure(
                 kind == ResponseKind.SHED ? FailureKind.SHED : FailureKind.MISDIRECTED,
                 "the server did not run the request",
-                retryAfterMillis(response.responseHeaders().get(HttpHeaderNames.RETRY_AFTER)));
+                RetryAfter.parseMillis(response.responseHeaders().get(HttpHeaderNames.RETRY_AFTER))
+                        .getOrElse(DEFAULT_RETRY_AFTER_MILLIS));
         String length = response.responseHeaders().get(HttpHeaderNames.CONTENT_LENGTH);
         if (length == null || length.length() > MAX_DRAINED_LENGTH_DIGITS) {
             return discard(openConnection, failure);
@@ -305,14 +323,6 @@
         return Mono.error(failure);
     }
 
-    private static long retryAfterMillis(String value) {
-        try {
-            return TimeUnit.SECONDS.toMillis(Math.min(Long.parseLong(value), MAX_RETRY_AFTER_SECONDS));
-        } catch (NumberFormatException e) {
-            return TimeUnit.SECONDS.toMillis(1);
-        }
-    }
-
     private CallerResponse completeWith(CallerResponse.Buffered buffered) {
         complete();
         return buffered;
--- a/transport/src/main/java/org/heatherreach/transport/http/CallDialect.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallDialect.java
@@ -38,6 +38,15 @@
     /** Returns what the head of a server's response says about the execution of the request. */
     ResponseKind classifyResponse(int statusCode, HttpHeaders headers);
 
+    /** Returns whether a server's response announces that the server is about to stop. */
+    boolean announcesLeaving(HttpHeaders headers);
+
+    /**
+     * Returns for how long a server that turned a request away wants no requests from this daemon; empty if its
+     * response does not say so.
+     */
+    Option<Long> quietMillis(int statusCode, HttpHeaders headers);
+
     /** Returns the request id that a server's response echoes; empty if it has none. */
     Option<String> echoedId(HttpHeaders headers);
 
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -21,6 +21,7 @@
 import io.vavr.control.Option;
 import net.openhft.hashing.LongHashFunction;
 import org.heatherreach.coordination.admission.RetryBudget;
+import org.heatherreach.coordination.balance.ServerNotice;
 import org.heatherreach.protocol.http.CallHeaders;
 import org.heatherreach.state.id.ServerId;
 import org.heatherreach.state.outcome.Outcome;
@@ -364,6 +365,14 @@
                         observeHead(server, headers);
                     }
 
+                    @Override
+                    public void serverAnnounced(ServerNotice notice) {
+                        parts.scheduler().recordNotice(ticket, notice);
+                        if (notice.leaving()) {
+                            parts.observer().draining(request.service(), server.id());
+                        }
+                    }
+
                     @Override
                     public void exchangeEnded(ExchangeResult result) {
                         trace.completeAttempt(attemptNumber, result);
@@ -487,9 +496,6 @@
         if (!"true".equals(headers.get(CallHeaders.BACKEND_SHED))) {
             parts.observer().answered(request.service(), server.id(), fingerprint, System.nanoTime());
         }
-        if ("true".equals(headers.get(CallHeaders.BACKEND_DRAINING))) {
-            parts.observer().draining(request.service(), server.id());
-        }
     }
 
     private Mono<CallerResponse> retryOrRefuse(
--- a/transport/src/main/java/org/heatherreach/transport/http/NativeDialect.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/NativeDialect.java
@@ -90,6 +90,18 @@
         return shed ? ResponseKind.SHED : ResponseKind.EXECUTED;
     }
 
+    @Override
+    public boolean announcesLeaving(HttpHeaders headers) {
+        return "true".equals(headers.get(CallHeaders.BACKEND_DRAINING));
+    }
+
+    @Override
+    public Option<Long> quietMillis(int statusCode, HttpHeaders headers) {
+        return classifyResponse(statusCode, headers) == ResponseKind.SHED
+                ? RetryAfter.parseMillis(headers.get(HttpHeaderNames.RETRY_AFTER))
+                : Option.none();
+    }
+
     @Override
     public Option<String> echoedId(HttpHeaders headers) {
         return Option.of(headers.get(CallHeaders.REQUEST_ID));
--- a/transport/src/main/java/org/heatherreach/transport/http/PooledScheduler.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/PooledScheduler.java
@@ -16,6 +16,7 @@
 import org.heatherreach.coordination.balance.PoolAction;
 import org.heatherreach.coordination.balance.PoolRequest;
 import org.heatherreach.coordination.balance.PoolResult;
+import org.heatherreach.coordination.balance.ServerNotice;
 import org.heatherreach.coordination.balance.ServerPool;
 import org.heatherreach.state.id.ServerId;
 import org.heatherreach.state.id.ServiceId;
@@ -105,6 +106,16 @@
         });
     }
 
+    @Override
+    public void recordNotice(long ticket, ServerNotice notice) {
+        offerAlways(() -> {
+            Entry entry = entries.get(ticket);
+            if (entry != null) {
+                apply(entry.pool, entry.pool.serverPool.recordNotice(ticket, notice, System.nanoTime()));
+            }
+        });
+    }
+
     @Override
     public void cancel(long ticket) {
         offerAlways(() -> {
@@ -279,7 +290,14 @@
     private static void logReport(ServiceId service, ServerId server, PoolResult result, String observer) {
         LOG.infof(
                 "server=%s service=%s state=%s result=%s observer=%s",
-                server, service, result.isFailure() ? "suspected" : "cleared", result.label(), observer);
+                server, service, stateAfter(result), result.label(), observer);
+    }
+
+    private static String stateAfter(PoolResult result) {
+        if (result == PoolResult.LEAVING) {
+            return "leaving";
+        }
+        return result.isFailure() ? "suspected" : "cleared";
     }
 
     private Pool pool(ServiceId service) {
--- a/transport/src/main/java/org/heatherreach/transport/http/RequestScheduler.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/RequestScheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.heatherreach.coordination.balance.ServerNotice;
 import org.heatherreach.state.id.ServiceId;
 
 /**
@@ -29,6 +30,12 @@
      */
     void complete(long ticket, ExchangeResult result);
 
+    /**
+     * Records what a server announced about itself in its response to a dispatched submission. Called before
+     * {@link #complete}; a notice for a ticket that has completed or was cancelled is ignored. The event is never lost.
+     */
+    default void recordNotice(long ticket, ServerNotice notice) {}
+
     /** Withdraws a submission whose caller has disconnected or whose deadline has passed. The event is never lost. */
     void cancel(long ticket);
 
