Divide the slots of a zone among its daemons instead of reporting every load

Cause: each daemon reported each change of its loads to every peer of the zone within 4 ms (87 ms at 57 daemons), 84 datagrams a second for 5 requests a second at 13 daemons, worked out from the intervals; each datagram wakes two threads of the receiver. With fewer reports all daemons choose the same idle server (PoolFleet). Change: SlotShares divides the slots of a zone's servers among its daemons in turn, without messages. A daemon uses a free slot of its share first, whatever old reports say, and others only by the reports, which cost at most about 25 datagrams a second for each group of peers (LoadReportSchedule). Reports stay frequent while requests fail or wait. The schedule duty wakes 5 times a second instead of 40 while nothing waits.

--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerLoad.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerLoad.java
@@ -63,6 +63,7 @@
     private long fullDeadlineNanos;
     private int peerInFlight;
     private long peerLoadDeadlineNanos;
+    private int ownSlots;
     private long quietDeadlineNanos;
     private long leavingHintDeadlineNanos;
 
@@ -99,6 +100,16 @@
         server = newer;
     }
 
+    /** Sets how many of the server's slots are this daemon's share. */
+    void setOwnSlots(int slots) {
+        ownSlots = slots;
+    }
+
+    /** Returns whether this daemon's share of the slots has room. */
+    boolean hasOwnSlotFree() {
+        return inFlight < ownSlots;
+    }
+
     int inFlight() {
         return inFlight;
     }
@@ -220,9 +231,15 @@
         if (isQuiet(nowNanos)) {
             return true;
         }
-        // A single trial request tests whether a suspected server works again.
-        int requestLimit = isHalfOpen(nowNanos) ? 1 : server.slots();
-        return knownInFlight(nowNanos) >= requestLimit || fullDeadlineNanos - nowNanos > 0;
+        if (fullDeadlineNanos - nowNanos > 0) {
+            return true;
+        }
+        if (isHalfOpen(nowNanos)) {
+            // A single trial request tests whether a suspected server works again.
+            return knownInFlight(nowNanos) > 0;
+        }
+        // The share is used although peers may have filled the server, since their reports may be old.
+        return !hasOwnSlotFree() && knownInFlight(nowNanos) >= server.slots();
     }
 
     boolean isWarm(long nowNanos) {
--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerPool.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerPool.java
@@ -1,6 +1,7 @@
 package org.heatherreach.coordination.balance;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -14,6 +15,7 @@
 import java.util.random.RandomGenerator;
 
 import org.heatherreach.coordination.admission.RetryHint;
+import org.heatherreach.state.id.DaemonId;
 import org.heatherreach.state.id.ServerId;
 import org.heatherreach.state.id.ZoneId;
 import org.heatherreach.state.outcome.RefusalReason;
@@ -55,6 +57,7 @@
     private final RandomGenerator random;
     private final RetryHint retryHint;
     private final ServerNotices notices = new ServerNotices();
+    private final SlotShares shares;
     private final Map<ServerId, ServerLoad> servers = new LinkedHashMap<>();
     private final Map<Long, RunningRequest> running = new HashMap<>();
     private final Map<Long, PoolRequest> waiting = new HashMap<>();
@@ -72,6 +75,7 @@
      */
     public ServerPool(ZoneId zone, RandomGenerator random) {
         this.selector = new ServerSelector(Objects.requireNonNull(zone, "zone"), random);
+        this.shares = new SlotShares(zone);
         this.random = random;
         this.retryHint = new RetryHint(random);
     }
@@ -92,9 +96,32 @@
             load.updateDescription(server);
             servers.put(server.id(), load);
         }
+        divideSlots();
         return servers.isEmpty() ? refuseWaiting(RefusalReason.NO_SERVER) : dispatchWaiting(nowNanos);
     }
 
+    /**
+     * Replaces the daemons of the zone, among which the slots of its servers are divided.
+     *
+     * @param self this daemon
+     * @param daemons the daemons of the zone
+     */
+    public void replaceDaemons(DaemonId self, Collection<DaemonId> daemons) {
+        shares.replaceDaemons(self, daemons);
+        divideSlots();
+    }
+
+    private void divideSlots() {
+        shares.divide(servers.values().stream().map(ServerLoad::server).toList());
+        servers.values()
+                .forEach(load -> load.setOwnSlots(shares.slotsAt(load.server().id())));
+    }
+
+    /** Returns whether a request waits for a server. */
+    public boolean hasWaiting() {
+        return !queue.isEmpty();
+    }
+
     /** Submits a request. */
     public List<PoolAction> submit(PoolRequest request, long nowNanos) {
         queue.add(request);
--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerSelector.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerSelector.java
@@ -19,6 +19,9 @@
     /** Makes a server of the local zone win against an equally loaded server of another zone. */
     private static final double CROSS_ZONE_COST = 0.3;
 
+    /** Makes a free slot of this daemon's share win against any slot that another daemon may be about to use. */
+    private static final double OWN_SLOT_BONUS = 1;
+
     private static final double COLD_SERVER_COST = 0.6;
     /**
      * The cost of a server without a recent answer. The first attempt of an idempotent request gets a bonus of the same
@@ -122,6 +125,9 @@
 
     private double cost(ServerLoad load, PoolRequest request, long nowNanos) {
         double cost = (double) load.knownInFlight(nowNanos) / load.server().slots();
+        if (load.hasOwnSlotFree() && load.isWarm(nowNanos)) {
+            cost -= OWN_SLOT_BONUS;
+        }
         if (!isInLocalZone(load)) {
             cost += request.largeAnswer() ? CROSS_ZONE_LARGE_ANSWER_COST : CROSS_ZONE_COST;
         }
--- a/coordination/src/test/java/org/heatherreach/coordination/balance/ServerPoolTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/balance/ServerPoolTest.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 
 import net.jqwik.api.Example;
+import org.heatherreach.state.id.DaemonId;
 import org.heatherreach.state.id.ServerId;
 import org.heatherreach.state.id.ZoneId;
 import org.heatherreach.state.outcome.RefusalReason;
@@ -279,6 +280,29 @@
         }
     }
 
+    // Guards against a daemon that leaves its share of the slots unused because old reports show the servers as full,
+    // and
+    // against one that uses the slots of others while its own are free.
+    @Example
+    void usesItsShareOfTheSlotsFirst() {
+        DaemonId self = new DaemonId("self");
+        pool.replaceDaemons(self, List.of(self, new DaemonId("peer"), new DaemonId("third")));
+        pool.replaceServers(List.of(server("a", LOCAL_ZONE, 1), server("b", LOCAL_ZONE, 1)), 0);
+        List<ServerId> used = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            used.add(dispatch(request(false), 0));
+        }
+        assertThat(used).as("one slot of each server").doesNotHaveDuplicates();
+        pool.complete(ticket, PoolResult.SUCCESS, MILLI_NANOS);
+        int a = ServerLoad.hashOf(new ServerId("a"));
+        int b = ServerLoad.hashOf(new ServerId("b"));
+        pool.notePeerLoads(Map.of(a, 3, b, 3), SECOND_NANOS, MILLI_NANOS);
+        assertThat(dispatch(request(false), 2 * MILLI_NANOS)).isEqualTo(used.get(1));
+        assertThat(submit(request(false), 2 * MILLI_NANOS))
+                .as("the slots of others are full")
+                .isEmpty();
+    }
+
     private static PoolServer server(String id, ZoneId zone, long incarnation) {
         return new PoolServer(new ServerId(id), incarnation, zone, 3, 0);
     }
--- a/daemon/src/main/java/org/heatherreach/daemon/site/DaemonRegistry.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/DaemonRegistry.java
@@ -132,9 +132,27 @@
 
     /**
      * Returns the number of entries of other daemons, including those that are leaving or that expired in an outage.
+     *
+     * @param sameZone whether to count the daemons in the zone of this one; otherwise those in other zones
      */
-    public synchronized int peerCount() {
-        return entries.size();
+    public synchronized int peerCount(boolean sameZone) {
+        return (int) entries.values().stream()
+                .filter(entry -> entry.entry.getZone().equals(self.getZone()) == sameZone)
+                .count();
+    }
+
+    /** Returns the id of this daemon. */
+    public DaemonId self() {
+        return new DaemonId(self.getName());
+    }
+
+    /** Returns the listed daemons in the zone of this daemon in a fixed order; this daemon unless it is leaving. */
+    public synchronized List<DaemonId> zoneDaemons() {
+        return listed().stream()
+                .filter(entry -> entry.getZone().equals(self.getZone()))
+                .map(entry -> new DaemonId(entry.getName()))
+                .sorted()
+                .toList();
     }
 
     /** Returns whether the entries have been read from the store at least once. */
--- a/daemon/src/main/java/org/heatherreach/daemon/site/PeerUpdateReceiver.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/PeerUpdateReceiver.java
@@ -13,6 +13,7 @@
 import org.heatherreach.protocol.peer.wire.PoolUpdate;
 import org.heatherreach.state.id.ServerId;
 import org.heatherreach.state.id.ServiceId;
+import org.heatherreach.transport.http.LoadReportSchedule;
 import org.heatherreach.transport.http.PoolPeers;
 import org.heatherreach.transport.http.PooledScheduler;
 import org.heatherreach.transport.peer.PacketHandler;
@@ -56,7 +57,7 @@
             return;
         }
         if (update.getHasLoads() || update.getAnsweredServersCount() > 0 || update.getRetriesCount() > 0) {
-            long validNanos = PooledScheduler.loadValidityNanos(peers.peerCount());
+            long validNanos = LoadReportSchedule.validityNanos(peers);
             Map<Integer, Integer> sums = loads.apply(update, from, System.nanoTime(), validNanos);
             retries = loads.retries();
             scheduler.recordPeerLoads(sums, Set.copyOf(update.getAnsweredServersList()));
--- a/daemon/src/main/java/org/heatherreach/daemon/site/PeerUpdateSender.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/PeerUpdateSender.java
@@ -13,6 +13,7 @@
 import org.heatherreach.protocol.peer.CrashCodec;
 import org.heatherreach.protocol.peer.wire.PoolFailure;
 import org.heatherreach.protocol.peer.wire.PoolUpdate;
+import org.heatherreach.state.id.DaemonId;
 import org.heatherreach.state.id.ServerId;
 import org.heatherreach.state.id.ServiceId;
 import org.heatherreach.transport.http.PoolPeers;
@@ -52,8 +53,18 @@
     }
 
     @Override
-    public int peerCount() {
-        return Math.min(MAX_PEERS, registry.peerCount());
+    public int peerCount(boolean sameZone) {
+        return Math.min(MAX_PEERS, registry.peerCount(sameZone));
+    }
+
+    @Override
+    public DaemonId self() {
+        return registry.self();
+    }
+
+    @Override
+    public List<DaemonId> zoneDaemons() {
+        return registry.zoneDaemons();
     }
 
     @Override
--- a/transport/src/main/java/org/heatherreach/transport/http/PoolPeers.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/PoolPeers.java
@@ -1,9 +1,11 @@
 package org.heatherreach.transport.http;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
 import org.heatherreach.coordination.balance.PoolResult;
+import org.heatherreach.state.id.DaemonId;
 import org.heatherreach.state.id.ServerId;
 import org.heatherreach.state.id.ServiceId;
 
@@ -14,10 +16,20 @@
     /** No peers. */
     PoolPeers NONE = new PoolPeers() {
         @Override
-        public int peerCount() {
+        public int peerCount(boolean sameZone) {
             return 0;
         }
 
+        @Override
+        public DaemonId self() {
+            return new DaemonId("self");
+        }
+
+        @Override
+        public List<DaemonId> zoneDaemons() {
+            return List.of();
+        }
+
         @Override
         public void reportFailure(ServiceId service, ServerId server, long incarnation, PoolResult result) {}
 
@@ -25,8 +37,18 @@
         public void reportLoads(Map<Integer, Integer> inFlight, Set<Integer> answered, boolean sameZone) {}
     };
 
-    /** Returns the number of daemons that receive reports. */
-    int peerCount();
+    /**
+     * Returns the number of daemons that receive reports.
+     *
+     * @param sameZone whether to count the peers in the zone of this daemon; otherwise those in other zones
+     */
+    int peerCount(boolean sameZone);
+
+    /** Returns the id of this daemon. */
+    DaemonId self();
+
+    /** Returns the daemons in the zone of this daemon, which is one of them unless it leaves. */
+    List<DaemonId> zoneDaemons();
 
     /** Reports that a server failed a request, or that a suspected server works again. */
     void reportFailure(ServiceId service, ServerId server, long incarnation, PoolResult result);
--- a/transport/src/main/java/org/heatherreach/transport/http/PooledScheduler.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/PooledScheduler.java
@@ -18,6 +18,7 @@
 import org.heatherreach.coordination.balance.PoolResult;
 import org.heatherreach.coordination.balance.ServerNotice;
 import org.heatherreach.coordination.balance.ServerPool;
+import org.heatherreach.state.id.DaemonId;
 import org.heatherreach.state.id.ServerId;
 import org.heatherreach.state.id.ServiceId;
 import org.heatherreach.state.id.ZoneId;
@@ -35,16 +36,10 @@
  */
 public final class PooledScheduler implements RequestScheduler {
     private static final Logger LOG = Logger.getLogger(PooledScheduler.class);
-    private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
-    /** Load changes within this time are reported together to the daemons in the same zone, where traffic is free. */
-    private static final long SAME_ZONE_REPORT_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(4);
-    /** Unchanged loads are reported at this interval, to make up for lost datagrams. */
-    private static final long SAME_ZONE_REPORT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-
-    private static final long OTHER_ZONES_REPORT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
-    private static final long LOAD_VALIDITY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-    /** Each change is reported to every peer, so with more peers than this the intervals grow with the peer count. */
-    private static final int PEERS_AT_FULL_RATE = 12;
+    /** The longest time between two checks for servers that do not answer, and for requests that wait too long. */
+    private static final long IDLE_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+    /** The time between these checks while requests wait. */
+    private static final long BUSY_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
 
     private final ZoneId zone;
     private final RandomGenerator random;
@@ -53,10 +48,9 @@
     private final Queue<Runnable> overflow = new ConcurrentLinkedQueue<>();
     private final Map<ServiceId, Pool> pools = new HashMap<>();
     private final Map<Long, Entry> entries = new HashMap<>();
-    private long sameZoneReportNanos = System.nanoTime();
-    private long otherZonesReportNanos = sameZoneReportNanos;
-    private boolean sameZoneLoadsReported;
-    private boolean otherZonesLoadsReported;
+    private final LoadReportSchedule sameZoneReports;
+    private final LoadReportSchedule otherZonesReports;
+    private List<DaemonId> zoneDaemons = List.of();
 
     /**
      * Creates a scheduler and starts its thread.
@@ -70,7 +64,9 @@
         this.zone = Objects.requireNonNull(zone, "zone");
         this.random = Objects.requireNonNull(random, "random");
         this.peers = Objects.requireNonNull(peers, "peers");
-        this.duty = new DutyThread<>("schedule", ringCapacity, this::handle, this::tick, TICK_NANOS);
+        this.sameZoneReports = new LoadReportSchedule(peers, true, System.nanoTime());
+        this.otherZonesReports = new LoadReportSchedule(peers, false, System.nanoTime());
+        this.duty = new DutyThread<>("schedule", ringCapacity, this::handle, this::tick, IDLE_TICK_NANOS);
         this.duty.start();
     }
 
@@ -89,7 +85,7 @@
                     submission.deadlineNanos(),
                     submission.triedServers());
             apply(pool, pool.serverPool.submit(request, nowNanos));
-            advanceSameZoneReport();
+            advanceReportWhileWaiting(pool);
         });
     }
 
@@ -101,7 +97,11 @@
                 apply(
                         entry.pool,
                         entry.pool.serverPool.complete(ticket, resultOf(result.failure()), System.nanoTime()));
-                advanceSameZoneReport();
+                if (result.failure() != FailureKind.NONE) {
+                    // A retry may follow, which uses up the budget that the daemons of the zone share.
+                    advanceSameZoneReport();
+                }
+                advanceReportWhileWaiting(entry.pool);
             }
         });
     }
@@ -178,7 +178,7 @@
                     .forEach(pool -> apply(
                             pool,
                             pool.serverPool.notePeerLoads(
-                                    inFlight, nowNanos + loadValidityNanos(peers.peerCount()), nowNanos)));
+                                    inFlight, nowNanos + LoadReportSchedule.validityNanos(peers), nowNanos)));
         });
     }
 
@@ -218,13 +218,22 @@
     }
 
     private void reportLoads(long nowNanos) {
-        if (nowNanos - sameZoneReportNanos >= 0) {
-            sameZoneReportNanos = nowNanos + scaleToPeers(SAME_ZONE_REPORT_INTERVAL_NANOS, peers.peerCount());
-            sameZoneLoadsReported = reportLoadsTo(true, sameZoneLoadsReported);
+        if (sameZoneReports.isDue(nowNanos)) {
+            updateZoneDaemons();
+            sameZoneReports.reported(nowNanos, reportLoadsTo(true, sameZoneReports.hadLoads()));
         }
-        if (nowNanos - otherZonesReportNanos >= 0) {
-            otherZonesReportNanos = nowNanos + scaleToPeers(OTHER_ZONES_REPORT_INTERVAL_NANOS, peers.peerCount());
-            otherZonesLoadsReported = reportLoadsTo(false, otherZonesLoadsReported);
+        if (otherZonesReports.isDue(nowNanos)) {
+            otherZonesReports.reported(nowNanos, reportLoadsTo(false, otherZonesReports.hadLoads()));
+        }
+        duty.advanceTickTo(sameZoneReports.dueNanos());
+        duty.advanceTickTo(otherZonesReports.dueNanos());
+    }
+
+    private void updateZoneDaemons() {
+        List<DaemonId> listed = peers.zoneDaemons();
+        if (!listed.equals(zoneDaemons)) {
+            zoneDaemons = listed;
+            pools.values().forEach(pool -> pool.serverPool.replaceDaemons(peers.self(), zoneDaemons));
         }
     }
 
@@ -245,26 +254,21 @@
         return !loads.isEmpty();
     }
 
-    /** Returns the time after which the loads that a peer reported expire unless it reports them again. */
-    public static long loadValidityNanos(int peerCount) {
-        return scaleToPeers(LOAD_VALIDITY_NANOS, peerCount);
-    }
-
-    private static long scaleToPeers(long nanos, int peerCount) {
-        return nanos * Math.max(PEERS_AT_FULL_RATE, peerCount) / PEERS_AT_FULL_RATE;
+    /**
+     * Makes the next report due earlier after an own request began or ended while others wait, since peers should know
+     * soon which slots are free. A report of a peer must not have this effect, or the daemons would keep each other
+     * reporting.
+     */
+    private void advanceReportWhileWaiting(Pool pool) {
+        if (pool.serverPool.hasWaiting()) {
+            advanceSameZoneReport();
+        }
     }
 
-    /** Makes the next report to the peers in the same zone due earlier, because the loads have changed. */
+    /** Makes the next report to the peers in the same zone due earlier. */
     private void advanceSameZoneReport() {
-        int peerCount = peers.peerCount();
-        // Scaled twice: each change costs one packet per peer, and the number of daemons with changes also grows with
-        // the number of peers.
-        long reportNanos =
-                System.nanoTime() + scaleToPeers(scaleToPeers(SAME_ZONE_REPORT_GAP_NANOS, peerCount), peerCount);
-        if (reportNanos - sameZoneReportNanos < 0) {
-            sameZoneReportNanos = reportNanos;
-            duty.advanceTickTo(reportNanos);
-        }
+        sameZoneReports.advance(System.nanoTime());
+        duty.advanceTickTo(sameZoneReports.dueNanos());
     }
 
     private void apply(Pool pool, List<PoolAction> actions) {
@@ -285,6 +289,9 @@
                 peers.reportFailure(pool.service, report.server(), report.incarnation(), report.result());
             }
         }
+        if (pool.serverPool.hasWaiting()) {
+            duty.advanceTickTo(System.nanoTime() + BUSY_TICK_NANOS);
+        }
     }
 
     private static void logReport(ServiceId service, ServerId server, PoolResult result, String observer) {
@@ -301,7 +308,13 @@
     }
 
     private Pool pool(ServiceId service) {
-        return pools.computeIfAbsent(service, key -> new Pool(key, new ServerPool(zone, random)));
+        return pools.computeIfAbsent(service, this::createPool);
+    }
+
+    private Pool createPool(ServiceId service) {
+        ServerPool serverPool = new ServerPool(zone, random);
+        serverPool.replaceDaemons(peers.self(), zoneDaemons);
+        return new Pool(service, serverPool);
     }
 
     private static PoolResult resultOf(FailureKind failure) {
