End answers of servers that never end

Cause, shown by EndlessResponseTest and RequestPathTest: a body without end was relayed for as long as the caller read it, also long after the deadline; a 1xx answer other than 100 was taken by the HTTP client for the final answer and relayed (102 without end gave the caller a 102); answers with 100 without end were read until the deadline; a refusal whose body never came held a request that had not run until its deadline. Change: a relay that goes on 2 s after the deadline is reset, so that the caller can't take it for complete; a connection that sends an interim answer other than 100, more than 8 of them, or an unrequested 101 is closed and the caller gets 502 at once; the body of a refusal is not awaited where connections are not reused. Heads, trailers and surplus without end were bounded before.

--- a/protocol/src/main/java/org/heatherreach/protocol/http/MessageScanner.java
+++ b/protocol/src/main/java/org/heatherreach/protocol/http/MessageScanner.java
@@ -115,6 +115,11 @@
         return state;
     }
 
+    /** Returns the status code of a response whose head has been read. */
+    public int statusCode() {
+        return statusCode;
+    }
+
     /** Returns the violation that the scanner failed with, or an empty text. */
     public String violation() {
         return violation;
--- a/transport/src/main/java/org/heatherreach/transport/http/BackendAttempt.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/BackendAttempt.java
@@ -41,6 +41,7 @@
     // reused.
     private static final int MAX_DRAINED_LENGTH_DIGITS = 4;
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 1000;
+    private static final int MIN_FINAL_STATUS = 200;
     private static final byte[] NO_BYTES = new byte[0];
 
     private final CallDialect dialect;
@@ -245,6 +246,13 @@
         if (kind == ResponseKind.SHED || kind == ResponseKind.MISDIRECTED) {
             return drainRefusal(response, openConnection, kind);
         }
+        if (statusCode < MIN_FINAL_STATUS) {
+            guard.closeUntrusted();
+            return discard(
+                    openConnection,
+                    new BackendFailure(
+                            FailureKind.TRUNCATED, "the server switched the protocol, which was not requested", 0));
+        }
         if (kind == ResponseKind.UNVERIFIED) {
             guard.closeUntrusted();
             return discard(
@@ -304,7 +312,8 @@
                 RetryAfter.parseMillis(response.responseHeaders().get(HttpHeaderNames.RETRY_AFTER))
                         .getOrElse(DEFAULT_RETRY_AFTER_MILLIS));
         String length = response.responseHeaders().get(HttpHeaderNames.CONTENT_LENGTH);
-        if (length == null || length.length() > MAX_DRAINED_LENGTH_DIGITS) {
+        boolean isShort = length != null && length.length() <= MAX_DRAINED_LENGTH_DIGITS;
+        if (!isShort || !limits.reusesBackendConnections()) {
             return discard(openConnection, failure);
         }
         return openConnection
--- a/transport/src/main/java/org/heatherreach/transport/http/BackendGuard.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/BackendGuard.java
@@ -16,11 +16,15 @@
  */
 final class BackendGuard extends ChannelDuplexHandler {
     static final String NAME = "heatherreach.backendGuard";
+    private static final int CONTINUE_STATUS = 100;
+    /** A server that sends more of them before its answer may go on without end. */
+    private static final int MAX_INTERIM_RESPONSES = 8;
 
     private final RequestMeters meters;
     private final MessageScanner scanner;
     private ChannelHandlerContext context;
     private boolean bodyless;
+    private int interimResponses;
     private boolean exchangeActive;
     private boolean closed;
 
@@ -33,6 +37,7 @@
     void begin(String method) {
         exchangeActive = true;
         bodyless = "HEAD".equals(method);
+        interimResponses = 0;
         scanner.reset(bodyless);
     }
 
@@ -80,6 +85,11 @@
                 index++;
             }
             if (scanner.state() == MessageScanner.State.INTERIM) {
+                if (!isExpectedInterim()) {
+                    bytes.release();
+                    closeAndCount(ctx);
+                    return;
+                }
                 scanner.reset(bodyless);
             } else if (scanner.state() == MessageScanner.State.ENDED) {
                 exchangeActive = false;
@@ -103,6 +113,15 @@
         }
     }
 
+    /**
+     * Returns whether an interim response can be skipped. The HTTP client skips only those with status 100 and takes any
+     * other one for the answer.
+     */
+    private boolean isExpectedInterim() {
+        interimResponses++;
+        return scanner.statusCode() == CONTINUE_STATUS && interimResponses <= MAX_INTERIM_RESPONSES;
+    }
+
     private void closeAndCount(ChannelHandlerContext ctx) {
         if (!closed) {
             closed = true;
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerExchange.java
@@ -55,6 +55,8 @@
     private static final long KEY_RUNNING_RETRY_MILLIS = 1000;
 
     private static final int SERVER_ERROR_STATUS = 500;
+    /** How long after the deadline a response may still be relayed; a body without end is broken off then. */
+    private static final long MAX_RELAY_OVERRUN_MILLIS = 2000;
     /** The share of the target latency after which another server is tried, so that it can still meet the target. */
     private static final double SLOW_SERVER_SHARE = 0.7;
 
@@ -105,6 +107,8 @@
     private volatile boolean executesKey;
     private volatile long progressNanos;
     private ScheduledFuture<?> deadlineTimer;
+    private volatile boolean ended;
+    private volatile ScheduledFuture<?> overrunTimer;
     private volatile ScheduledFuture<?> stallTimer;
     private ScheduledFuture<?> slowServerTimer;
 
@@ -706,6 +710,10 @@
     private void handleDeadline() {
         Phase before = phase.get();
         if (!enterPhase(Phase.ENDED)) {
+            if (before == Phase.RELAYING) {
+                overrunTimer =
+                        channel.eventLoop().schedule(this::endOverrun, MAX_RELAY_OVERRUN_MILLIS, TimeUnit.MILLISECONDS);
+            }
             return;
         }
         if (keyedRequest != null && keyStateUnknown) {
@@ -726,6 +734,19 @@
         }
     }
 
+    /** Breaks off a response that is still being relayed long after the deadline. */
+    private void endOverrun() {
+        if (!ended) {
+            stopWork(isCallerStalled() ? FailureKind.CANCELLED : FailureKind.STALLED);
+            caller.reset();
+        }
+    }
+
+    private boolean isCallerStalled() {
+        ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
+        return pending != null && pending.totalPendingWriteBytes() > 0;
+    }
+
     private void handleBodyFault(RefusalReason reason) {
         if (enterPhase(Phase.ENDED)) {
             interrupt(reason, FailureKind.CANCELLED);
@@ -776,10 +797,13 @@
         if (!executesKey || !callerDisconnected) {
             deadlineTimer.cancel(false);
         }
-        if (slowServerTimer != null) {
-            slowServerTimer.cancel(false);
-        }
-        ScheduledFuture<?> timer = stallTimer;
+        cancelTimer(slowServerTimer);
+        ended = true;
+        cancelTimer(stallTimer);
+        cancelTimer(overrunTimer);
+    }
+
+    private static void cancelTimer(ScheduledFuture<?> timer) {
         if (timer != null) {
             timer.cancel(false);
         }
@@ -804,9 +828,7 @@
             stallTimer = channel.eventLoop().schedule(this::checkStall, limitNanos - idleNanos, TimeUnit.NANOSECONDS);
             return;
         }
-        ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
-        boolean callerStalled = pending != null && pending.totalPendingWriteBytes() > 0;
-        stopWork(callerStalled ? FailureKind.CANCELLED : FailureKind.STALLED);
+        stopWork(isCallerStalled() ? FailureKind.CANCELLED : FailureKind.STALLED);
         caller.reset();
     }
 }
