Start with bounds that are fractions or empty

Change: ratio and slack are numbers with a fraction, rounded down so that the fleet stays within the bound (ratio was rounded to the nearest percent before); an empty value of these and of the times means the default. Result: SiteSettingsFileTest.acceptsFractionsAndEmptyBounds failed before and passes.

--- a/daemon/src/main/java/org/heatherreach/daemon/site/SiteSettingsFile.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/SiteSettingsFile.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.function.DoubleToIntFunction;
 import java.util.function.Function;
 
 import io.vavr.control.Either;
@@ -22,6 +23,12 @@
     private static final String TIME_FORMAT = "a time such as 1500ms or 2.5s";
     private static final InetSocketAddress PLACEHOLDER_ADDRESS = new InetSocketAddress(0);
 
+    private static final int DEFAULT_RETRY_PERCENT = 20;
+    private static final int DEFAULT_RETRY_SLACK = 50;
+    private static final int MAX_RETRY_SLACK = 1_000_000;
+    /** Makes up for decimal fractions that have no exact binary form, such as 0.29. */
+    private static final double ROUNDING = 1e-9;
+
     private final IniSections sections;
 
     private SiteSettingsFile(IniSections sections) {
@@ -52,8 +59,9 @@
                 readAddress(sections.section("store"), "address"),
                 readMillis(shutdown, "grace", 6_000),
                 readMillis(sections.section("addresses"), "keep", 1_000),
-                retries.read("ratio", 20, "a number from 0 to 1", SiteSettingsFile::parsePercent),
-                retries.integer("slack", 50, 0, 1_000_000),
+                readNumber(
+                        retries, "ratio", DEFAULT_RETRY_PERCENT, 1, ratio -> (int) Math.floor(ratio * 100 + ROUNDING)),
+                readNumber(retries, "slack", DEFAULT_RETRY_SLACK, MAX_RETRY_SLACK, slack -> (int) Math.floor(slack)),
                 log.choice("format", LogFormat.HUMAN, LogFormat.values()),
                 log.choice("level", LogLevel.INFO, LogLevel.values()));
         sections.reportUnread("");
@@ -66,22 +74,31 @@
     }
 
     private static long readMillis(SectionReader section, String key, long defaultMillis) {
-        return section.read(key, defaultMillis, TIME_FORMAT, SiteSettingsFile::parseMillis);
-    }
-
-    private static Either<String, Long> parseMillis(String text) {
-        return DurationParser.parseMillis(text).toEither("\"" + text + "\" is not a time");
+        return section.read(
+                key,
+                defaultMillis,
+                TIME_FORMAT,
+                text -> text.isEmpty()
+                        ? Either.right(defaultMillis)
+                        : DurationParser.parseMillis(text).toEither("\"" + text + "\" is not a time"));
     }
 
-    private static Either<String, Integer> parsePercent(String text) {
-        try {
-            double ratio = Double.parseDouble(text);
-            return ratio >= 0 && ratio <= 1
-                    ? Either.right((int) Math.round(ratio * 100))
-                    : Either.left("the value " + text + " is out of range");
-        } catch (NumberFormatException e) {
-            return Either.left("\"" + text + "\" is not a number");
-        }
+    /** Reads a number from 0 to a maximum, which may have a fraction; the default holds if the value is empty. */
+    private static int readNumber(
+            SectionReader section, String key, int defaultValue, int max, DoubleToIntFunction convert) {
+        return section.read(key, defaultValue, "a number from 0 to " + max, text -> {
+            if (text.isEmpty()) {
+                return Either.right(defaultValue);
+            }
+            try {
+                double value = Double.parseDouble(text);
+                return value >= 0 && value <= max
+                        ? Either.right(convert.applyAsInt(value))
+                        : Either.left("the value " + text + " is out of range");
+            } catch (NumberFormatException e) {
+                return Either.left("\"" + text + "\" is not a number");
+            }
+        });
     }
 
     private static <T> Function<String, Either<String, T>> nameParser(Function<String, T> create) {
--- a/daemon/src/test/java/org/heatherreach/daemon/site/SiteSettingsFileTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/site/SiteSettingsFileTest.java
@@ -54,6 +54,30 @@
                 .containsExactlyInAnyOrder("keep", "front", "slak");
     }
 
+    // Guards against a daemon that does not start because a platform gives the bounds of the retry budget as fractions
+    // or
+    // leaves them empty. Fractions are rounded down, so that the fleet stays within the bounds.
+    @Example
+    void acceptsFractionsAndEmptyBounds() throws IOException {
+        SiteSettings settings = read(VALID.replace("ratio = 0.2", "ratio = 0.128")
+                        .replace("slack = 56", "slack = 56.09756097560976"))
+                .get();
+        assertThat(settings.retryPercent()).isEqualTo(12);
+        assertThat(settings.retrySlack()).isEqualTo(56);
+        SiteSettings empty = read(VALID.replace("ratio = 0.2", "ratio =")
+                        .replace("slack = 56", "slack =")
+                        .replace("grace = 6000ms", "grace ="))
+                .get();
+        assertThat(empty.retryPercent()).isEqualTo(20);
+        assertThat(empty.retrySlack()).isEqualTo(50);
+        assertThat(empty.graceMillis()).isEqualTo(6000);
+        assertThat(read(VALID.replace("slack = 56", "slack = many")).getLeft())
+                .extracting(SettingsError::key)
+                .containsExactly("slack");
+        assertThat(read(VALID.replace("slack = 56", "slack = NaN")).isLeft()).isTrue();
+        assertThat(read(VALID.replace("ratio = 0.2", "ratio = 1.5")).isLeft()).isTrue();
+    }
+
     private static Either<List<SettingsError>, SiteSettings> read(String text) throws IOException {
         Path file = Files.createTempFile("site", ".ini");
         try {
