Poll the store as often as the bounds of a change need

There a leaving server must be dropped within 3 s, a route within 3 s; on the small sites within 2 s. Change: the pause after a poll that brought changes is a quarter of the tighter bound, given by [store] servers-within and routes-within (2 s if they are empty): 750 ms on the large site, 625 ms on the grown ones, 500 ms as before on the small ones.

--- a/daemon/src/main/java/org/heatherreach/daemon/site/SiteSettingsFile.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/SiteSettingsFile.java
@@ -23,6 +23,7 @@
     private static final String TIME_FORMAT = "a time such as 1500ms or 2.5s";
     private static final InetSocketAddress PLACEHOLDER_ADDRESS = new InetSocketAddress(0);
 
+    private static final long DEFAULT_CHANGE_BOUND_MILLIS = 2000;
     private static final int DEFAULT_RETRY_PERCENT = 20;
     private static final int DEFAULT_RETRY_SLACK = 50;
     private static final int MAX_RETRY_SLACK = 1_000_000;
@@ -44,6 +45,7 @@
     private SiteSettings readSettings() {
         SectionReader daemon = sections.section("daemon");
         SectionReader listen = sections.section("listen");
+        SectionReader store = sections.section("store");
         SectionReader shutdown = sections.section("shutdown");
         SectionReader retries = sections.section("retries");
         SectionReader log = sections.section("log");
@@ -56,7 +58,10 @@
                 readAddress(listen, "directory"),
                 readAddress(listen, "peer"),
                 readAddress(listen, "metrics"),
-                readAddress(sections.section("store"), "address"),
+                readAddress(store, "address"),
+                Math.min(
+                        readMillis(store, "servers-within", DEFAULT_CHANGE_BOUND_MILLIS),
+                        readMillis(store, "routes-within", DEFAULT_CHANGE_BOUND_MILLIS)),
                 readMillis(shutdown, "grace", 6_000),
                 readMillis(sections.section("addresses"), "keep", 1_000),
                 readNumber(
--- a/daemon/src/test/java/org/heatherreach/daemon/site/SiteSettingsFileTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/site/SiteSettingsFileTest.java
@@ -78,6 +78,15 @@
         assertThat(read(VALID.replace("ratio = 0.2", "ratio = 1.5")).isLeft()).isTrue();
     }
 
+    // Guards against polling the store for the looser of the two bounds.
+    @Example
+    void takesTheTighterBoundOfChanges() throws IOException {
+        assertThat(read(VALID).get().changeBoundMillis()).isEqualTo(2000);
+        String both = VALID.replace(
+                "address = 127.0.0.1:6", "address = 127.0.0.1:6\nservers-within = 3s\nroutes-within = 2500ms");
+        assertThat(read(both).get().changeBoundMillis()).isEqualTo(2500);
+    }
+
     private static Either<List<SettingsError>, SiteSettings> read(String text) throws IOException {
         Path file = Files.createTempFile("site", ".ini");
         try {
