Log a peer's report of a server only if it changes the state

Change: ServerPool says whether a report changed what the daemon believes, and only then a line is written. Result: ServerPoolTest.tellsWhichReportsChangeTheState; the effect on processor time was not measured alone.

--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerLoad.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerLoad.java
@@ -211,6 +211,11 @@
         return leavingHintDeadlineNanos - nowNanos > 0;
     }
 
+    /** Returns whether the server has failed and no success has ended the suspicion. */
+    boolean isSuspected() {
+        return suspected;
+    }
+
     /** Returns whether the server has failed and is not to be tried again yet. */
     boolean isAvoided(long nowNanos) {
         return suspected && avoidDeadlineNanos - nowNanos > 0;
--- a/coordination/src/main/java/org/heatherreach/coordination/balance/ServerPool.java
+++ b/coordination/src/main/java/org/heatherreach/coordination/balance/ServerPool.java
@@ -216,12 +216,21 @@
         return complete(ticket, PoolResult.CANCELLED, nowNanos);
     }
 
-    /** Records the result that a peer reported: a failure, or the success of a server that works again. */
-    public void notePeerFailure(long peer, ServerId id, long incarnation, PoolResult result, long nowNanos) {
+    /**
+     * Records the result that a peer reported: a failure, the success of a server that works again, or that a server
+     * leaves.
+     *
+     * @return whether the report changed what this daemon believes of the server
+     */
+    public boolean notePeerFailure(long peer, ServerId id, long incarnation, PoolResult result, long nowNanos) {
         ServerLoad load = servers.get(id);
-        if (load != null && load.server().incarnation() == incarnation) {
-            load.notePeerResult(peer, result, random.nextDouble(), nowNanos);
+        if (load == null || load.server().incarnation() != incarnation) {
+            return false;
         }
+        boolean suspectedBefore = load.isSuspected();
+        boolean leavingBefore = load.isLeavingByHint(nowNanos);
+        load.notePeerResult(peer, result, random.nextDouble(), nowNanos);
+        return suspectedBefore != load.isSuspected() || leavingBefore != load.isLeavingByHint(nowNanos);
     }
 
     /**
--- a/coordination/src/test/java/org/heatherreach/coordination/balance/ServerPoolTest.java
+++ b/coordination/src/test/java/org/heatherreach/coordination/balance/ServerPoolTest.java
@@ -47,6 +47,24 @@
         assertThat(dispatch(request(false), MILLI_NANOS)).isEqualTo(new ServerId("b"));
     }
 
+    // Guards against a log that grows with the failures of the whole fleet: only a report that changes what the daemon
+    // believes is worth a line.
+    @Example
+    void tellsWhichReportsChangeTheState() {
+        pool.replaceServers(List.of(server("a", LOCAL_ZONE, 1), server("b", LOCAL_ZONE, 1)), 0);
+        ServerId a = new ServerId("a");
+        assertThat(pool.notePeerFailure(7, a, 1, PoolResult.ERROR, 0)).isTrue();
+        assertThat(pool.notePeerFailure(8, a, 1, PoolResult.ERROR, MILLI_NANOS)).isFalse();
+        assertThat(pool.notePeerFailure(8, a, 2, PoolResult.SUCCESS, 2 * MILLI_NANOS))
+                .isFalse();
+        assertThat(pool.notePeerFailure(8, a, 1, PoolResult.SUCCESS, 3 * MILLI_NANOS))
+                .isTrue();
+        assertThat(pool.notePeerFailure(8, a, 1, PoolResult.SUCCESS, 4 * MILLI_NANOS))
+                .isFalse();
+        assertThat(pool.notePeerFailure(8, a, 1, PoolResult.LEAVING, 5 * MILLI_NANOS))
+                .isTrue();
+    }
+
     // Guards against a healthy server being avoided by all daemons because the network path of one daemon is
     // broken.
     @Example
--- a/transport/src/main/java/org/heatherreach/transport/http/PooledScheduler.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/PooledScheduler.java
@@ -161,8 +161,12 @@
      */
     public void recordPeerResult(long peer, ServiceId service, ServerId server, long incarnation, PoolResult result) {
         duty.offer(() -> {
-            logReport(service, server, result, Long.toHexString(peer));
-            pool(service).serverPool.notePeerFailure(peer, server, incarnation, result, System.nanoTime());
+            boolean changed =
+                    pool(service).serverPool.notePeerFailure(peer, server, incarnation, result, System.nanoTime());
+            if (changed) {
+                // Only changes are logged, or the lines of each daemon would grow with the failures of the whole fleet.
+                logReport(service, server, result, Long.toHexString(peer));
+            }
         });
     }
 
