--- a/review/standins/Backend.java
+++ b/review/standins/Backend.java
@@ -60,6 +60,8 @@
     /** Until when requests are turned away, and for how long the server then wants nothing. */
     private volatile long busyUntilNanos = System.nanoTime();
     private volatile String retryAfterSeconds = "";
+    /** Until when answers are bodies without end. */
+    private volatile long endlessUntilNanos = System.nanoTime();
     private int starts;
 
     final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
@@ -129,6 +131,11 @@
         busyUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
     }
 
+    /** For some time, answers with bodies that do not end until the daemon closes the connection. */
+    void answerWithoutEnd(long millis) {
+        endlessUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
     /** Stops accepting and ends what is open. */
     void end() {
         record.note("server " + id + " ends");
@@ -263,6 +270,10 @@
                 crash(arrival.requestId, 3000);
                 return;
             }
+            if (endlessUntilNanos - System.nanoTime() > 0) {
+                sendWithoutEnd(arrival, out);
+                return;
+            }
             Net.sleep(workMillis);
             running.remove(arrival.requestId);
             answer(
@@ -277,6 +288,25 @@
         }
     }
 
+    /** Sends a body in chunks of one byte until the connection ends. */
+    private void sendWithoutEnd(Arrival arrival, OutputStream out) throws IOException {
+        record.note(arrival.serverId + " begins a body without end in its answer to " + arrival.requestId);
+        long sentBytes = 0;
+        try {
+            out.write(("HTTP/1.1 200 -\r\nHeatherreach-Request-Attempt-Id: " + arrival.requestId
+                            + "\r\nHeatherreach-Server-Signature: " + arrival.serverId + "." + arrival.requestId
+                            + "\r\nTransfer-Encoding: chunked\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+            byte[] chunks = "1\r\nz\r\n".repeat(500).getBytes(StandardCharsets.US_ASCII);
+            while (true) {
+                out.write(chunks);
+                sentBytes += chunks.length;
+            }
+        } finally {
+            record.note(arrival.serverId + " ends its answer to " + arrival.requestId + " after " + sentBytes + " bytes");
+        }
+    }
+
     private static void answer(OutputStream out, int status, String headers, String requestId, String body)
             throws IOException {
         out.write(("HTTP/1.1 " + status + " -\r\n" + headers + "Heatherreach-Request-Attempt-Id: " + requestId
