Join the tiny chunks of a body; let each connection have one read a turn

Cause: all connections share one event loop. Thread dumps during the fault show it in writev, once for each chunk; up to 16 reads of 64 KB were parsed and relayed before another connection or a timer had its turn.

Change: ContentCoalescer joins the small parts that one read returned, FairReads bounds a turn to one read of 16 KB; both on the connections of servers and of callers. A new meter and log line show a late event loop.

The tests failed before: EndlessResponseTest.relaysTinyChunksInFewWrites (60,000 chunks relayed, bound 6,000), ProxyFaultsTest.sendsTheTinyChunksOfARequestOnInFewWrites (20,001, bound 2,000).

--- a/transport/src/main/java/org/heatherreach/transport/http/BackendClients.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/BackendClients.java
@@ -9,6 +9,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import org.heatherreach.transport.metric.RequestMeters;
+import reactor.netty.NettyPipeline;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.resources.LoopResources;
@@ -50,12 +51,16 @@
                 .runOn(loops)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMillis())
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, FairReads.allocator())
                 // A retry inside the client could run a request twice, and no retry reason would be counted.
                 .disableRetry(true)
                 .httpResponseDecoder(spec -> spec.maxHeaderSize(limits.headBytes() + DECODER_MARGIN_BYTES)
                         .maxInitialLineLength(limits.headBytes() + DECODER_MARGIN_BYTES))
-                .doOnChannelInit((observer, channel, remote) ->
-                        channel.pipeline().addFirst(BackendGuard.NAME, new BackendGuard(limits, meters)));
+                .doOnChannelInit((observer, channel, remote) -> {
+                    channel.pipeline().addFirst(BackendGuard.NAME, new BackendGuard(limits, meters));
+                    channel.pipeline()
+                            .addBefore(NettyPipeline.ReactiveBridge, ContentCoalescer.NAME, new ContentCoalescer());
+                });
     }
 
     private ConnectionProvider pool(int maxConnections) {
--- a/transport/src/main/java/org/heatherreach/transport/http/CallerServer.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/CallerServer.java
@@ -63,6 +63,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, FairReads.allocator())
                 .httpRequestDecoder(spec -> spec.maxHeaderSize(limits.headBytes() + DECODER_MARGIN_BYTES)
                         .maxInitialLineLength(limits.headBytes() + DECODER_MARGIN_BYTES)
                         .allowDuplicateContentLengths(false)
@@ -80,9 +81,14 @@
                             new CallerGuard(parts::callerLimits, meters, parts.requestIds(), parts.history());
                     channel.pipeline().addFirst(CallerGuard.NAME, guard);
                     channel.pipeline().addAfter(NettyPipeline.HttpCodec, CallerGuard.TRACKER_NAME, guard.tracker());
+                    channel.pipeline()
+                            .addBefore(NettyPipeline.ReactiveBridge, ContentCoalescer.NAME, new ContentCoalescer());
                 })
                 .handle(handler)
                 .bindNow();
+        for (int i = 0; i < ioThreads; i++) {
+            new LoopDelayMonitor(loops.onServer(true).next(), meters).start();
+        }
     }
 
     /** Returns the requests and retries of each service in the window of its retry budget. */
--- a/transport/src/main/java/org/heatherreach/transport/metric/RequestMeters.java
+++ b/transport/src/main/java/org/heatherreach/transport/metric/RequestMeters.java
@@ -32,6 +32,7 @@
     private final Counter refusedConnections;
     private final Counter doubtfulConnections;
     private final Counter replays;
+    private final Timer loopDelays;
     private final AtomicInteger inFlight;
 
     /** Creates the meters and registers them. */
@@ -63,6 +64,7 @@
         refusedConnections = registry.counter("heatherreach.caller.connections.refused");
         doubtfulConnections = registry.counter("heatherreach.backend.doubtful.connections");
         replays = registry.counter("heatherreach.replays");
+        loopDelays = registry.timer("heatherreach.loop.delay");
         inFlight = registry.gauge("heatherreach.requests.in.flight", new AtomicInteger());
     }
 
@@ -131,4 +133,9 @@
     public void countReplay() {
         replays.increment();
     }
+
+    /** Records by how much a periodic check on an event loop for connections ran late. */
+    public void recordLoopDelay(long delayNanos) {
+        loopDelays.record(delayNanos, TimeUnit.NANOSECONDS);
+    }
 }
--- a/transport/src/test/java/org/heatherreach/transport/http/EndlessResponseTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/EndlessResponseTest.java
@@ -112,4 +112,24 @@
             assertThat(closed.await(AWAIT_SECONDS, TimeUnit.SECONDS)).isTrue();
         }
     }
+
+    // Guards against a body in tiny chunks that keeps the event loop busy until its deadline, while the requests of
+    // other
+    // callers wait past theirs: each chunk was written and flushed by itself.
+    @Example
+    void relaysTinyChunksInFewWrites() throws Exception {
+        int chunkCount = 60_000;
+        try (ProxyFixture fixture = new ProxyFixture()
+                        .backend(call -> {
+                            call.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                    + "1\r\nx\r\n".repeat(chunkCount) + "0\r\n\r\n");
+                            return true;
+                        })
+                        .start();
+                RawCaller caller = fixture.caller()) {
+            RawCaller.Response response = caller.get("/");
+            assertThat(response.text()).isEqualTo("x".repeat(chunkCount));
+            assertThat(caller.chunksRead()).isLessThan(chunkCount / 10);
+        }
+    }
 }
--- a/transport/src/test/java/org/heatherreach/transport/http/ProxyFaultsTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/ProxyFaultsTest.java
@@ -520,4 +520,25 @@
             assertThat(caller.get("/").reason()).isEqualTo("crash-suspect");
         }
     }
+
+    // Guards against an upload in tiny chunks that keeps the event loop busy, because each chunk is sent on by itself.
+    @Example
+    void sendsTheTinyChunksOfARequestOnInFewWrites() throws Exception {
+        int chunkCount = 20_000;
+        try (ProxyFixture fixture = new ProxyFixture()
+                        .backend(call -> {
+                            call.respond(
+                                    200,
+                                    "",
+                                    Integer.toString(call.body().length).getBytes(StandardCharsets.UTF_8));
+                            return true;
+                        })
+                        .start();
+                RawCaller caller = fixture.caller()) {
+            caller.send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + "1\r\nx\r\n".repeat(chunkCount) + "0\r\n\r\n");
+            assertThat(caller.read("POST").text()).isEqualTo(Integer.toString(chunkCount));
+            assertThat(fixture.backends.get(0).chunks.get()).isLessThan(chunkCount / 10);
+        }
+    }
 }
--- a/transport/src/test/java/org/heatherreach/transport/http/RawCaller.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/RawCaller.java
@@ -31,6 +31,7 @@
 
     private final Socket socket;
     private final InputStream input;
+    private int chunksRead;
 
     RawCaller(int port) throws IOException {
         socket = new Socket("127.0.0.1", port);
@@ -125,9 +126,15 @@
                 return body.toByteArray();
             }
             body.writeBytes(chunk);
+            chunksRead++;
         }
     }
 
+    /** Returns how many chunks the bodies had that were read so far. */
+    int chunksRead() {
+        return chunksRead;
+    }
+
     /** Reads the remaining input and returns whether the daemon closes the connection. */
     boolean isClosedByDaemon() throws IOException {
         try {
--- a/transport/src/test/java/org/heatherreach/transport/http/ScriptedBackend.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/ScriptedBackend.java
@@ -67,6 +67,9 @@
     final Set<String> seenTargets = ConcurrentHashMap.newKeySet();
     final AtomicInteger connections = new AtomicInteger();
     final AtomicInteger requests = new AtomicInteger();
+    /** The chunks of the request bodies that were received so far, including the last one of each body. */
+    final AtomicInteger chunks = new AtomicInteger();
+
     private final ServerSocket listener;
     private final Script script;
     private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
@@ -147,7 +150,7 @@
         return new Call(parts[0], parts[1], headers, readBody(input, headers), socket);
     }
 
-    private static byte[] readBody(InputStream input, Map<String, String> headers) throws IOException {
+    private byte[] readBody(InputStream input, Map<String, String> headers) throws IOException {
         if (!headers.containsKey("transfer-encoding")) {
             return input.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
         }
@@ -158,6 +161,7 @@
                 throw new EOFException("connection closed within a chunked body");
             }
             int size = Integer.parseInt(sizeLine, 16);
+            chunks.incrementAndGet();
             byte[] chunk = input.readNBytes(size);
             if (chunk.length < size) {
                 throw new EOFException("connection closed within a chunk");
