Drop servers that left in time after an interruption of the store

Cause: a removal was held back for 2.1 s after any interruption, however short, counted from when this daemon noticed the return; it noticed late, because a poll on a dead connection took 1.8 s and the next call could get another dead connection.

Change: a removal is held back only after an outage in which an entry can expire, and until 2.8 s after the store can have been back at the latest.

--- a/daemon/src/main/java/org/heatherreach/daemon/site/DaemonRegistry.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/DaemonRegistry.java
@@ -63,7 +63,7 @@
      * @param self the entry of this daemon
      */
     public DaemonRegistry(KeyValueStore store, DaemonEntry self) {
-        super("daemons", REREGISTRATION_MILLIS, System::nanoTime);
+        super("daemons", ReregistrationTerms.afterAnyOutage(REREGISTRATION_MILLIS), System::nanoTime);
         this.store = Objects.requireNonNull(store, "store");
         this.self = Objects.requireNonNull(self, "self");
     }
--- a/daemon/src/main/java/org/heatherreach/daemon/site/FollowedKeys.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/FollowedKeys.java
@@ -13,7 +13,9 @@
 /**
  * Base class for state that follows a set of keys in the store; it also tracks whether the store is available.
  *
- * <p>Invariant: each outage of the store is logged once when it begins and once when it ends.
+ * <p>Invariants: each outage of the store is logged once when it begins and once when it ends; a missing key may be
+ * registered again only after an outage in which it can have expired, and not beyond the limit of the
+ * {@link ReregistrationTerms}, counted from the earliest time at which the store can have been back.
  *
  * <p>Thread safety: every method is synchronized and must not block.
  */
@@ -21,23 +23,29 @@
     private static final Logger LOG = Logger.getLogger(FollowedKeys.class);
 
     private final String watched;
-    private final long reregistrationNanos;
+    private final ReregistrationTerms terms;
     private final LongSupplier nanoClock;
     private boolean storeFailing;
+    private long lastResponseNanos;
+    private long lastFailureNanos;
+    /** No call that began before this time can have shown that the store is back. */
+    private long earliestReturnNanos;
+
     private long reregistrationDeadlineNanos;
 
     /**
      * Creates an instance that regards the store as available.
      *
      * @param watched the name of the followed keys in the log
-     * @param reregistrationMillis how long after an outage the owners of keys may take to register them again
+     * @param terms when keys can expire in an outage, and how long their owners may take to register them again
      * @param nanoClock the monotonic clock
      */
-    FollowedKeys(String watched, long reregistrationMillis, LongSupplier nanoClock) {
+    FollowedKeys(String watched, ReregistrationTerms terms, LongSupplier nanoClock) {
         this.watched = Objects.requireNonNull(watched, "watched");
-        this.reregistrationNanos = TimeUnit.MILLISECONDS.toNanos(reregistrationMillis);
+        this.terms = Objects.requireNonNull(terms, "terms");
         this.nanoClock = Objects.requireNonNull(nanoClock, "nanoClock");
-        this.reregistrationDeadlineNanos = nanoClock.getAsLong();
+        this.lastResponseNanos = nanoClock.getAsLong();
+        this.reregistrationDeadlineNanos = lastResponseNanos;
     }
 
     /** Replaces the known keys with the result of a full read. */
@@ -69,15 +77,36 @@
 
     @Override
     public final synchronized void upToDate() {
+        long nowNanos = nanoClock.getAsLong();
         if (storeFailing) {
             storeFailing = false;
-            reregistrationDeadlineNanos = nanoClock.getAsLong() + reregistrationNanos;
-            LOG.infof("dependency=store state=regained watched=%s", watched);
+            long outageNanos = nowNanos - lastResponseNanos;
+            extendReregistration(nowNanos, outageNanos);
+            LOG.infof(
+                    "dependency=store state=regained watched=%s outage-ms=%d reregistration-ms=%d",
+                    watched,
+                    TimeUnit.NANOSECONDS.toMillis(outageNanos),
+                    TimeUnit.NANOSECONDS.toMillis(Math.max(0, reregistrationDeadlineNanos - nowNanos)));
+        }
+        lastResponseNanos = nowNanos;
+    }
+
+    /** Gives the owners of keys that can have expired in the outage time to register them again. */
+    private void extendReregistration(long nowNanos, long outageNanos) {
+        // Keys that expired in an earlier outage were to be registered again when this one began.
+        boolean interruptsReregistration = reregistrationDeadlineNanos - lastResponseNanos > 0;
+        if (interruptsReregistration || outageNanos >= terms.minOutageNanos()) {
+            long deadlineNanos = nowNanos + terms.reregistrationNanos();
+            long limitNanos = earliestReturnNanos + terms.limitNanos();
+            reregistrationDeadlineNanos = deadlineNanos - limitNanos < 0 ? deadlineNanos : limitNanos;
         }
     }
 
     @Override
     public final synchronized void storeFailed(KeyValueError error) {
+        // The call that failed now was made after the previous event. Had the store been back before, it had succeeded.
+        earliestReturnNanos = storeFailing ? lastFailureNanos : lastResponseNanos;
+        lastFailureNanos = nanoClock.getAsLong();
         if (!storeFailing) {
             storeFailing = true;
             LOG.warnf("dependency=store state=lost watched=%s reason=\"%s\"", watched, error.reason());
--- a/daemon/src/main/java/org/heatherreach/daemon/site/ServerRegistry.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/ServerRegistry.java
@@ -26,15 +26,22 @@
  * The registry of the backend servers, which register themselves in the store.
  *
  * <p>Invariants: a server that registered as leaving is not offered again in the same incarnation; a registration that
- * ended during or just after an outage of the store stays in use until its server has had time to register again; one
- * that ended at any other time, or that was marked as leaving, is removed at once.
+ * can have expired in an outage of the store stays in use until its server has had time to register again; one that
+ * ended at any other time, or that was marked as leaving, is removed at once.
  *
  * <p>Thread safety: the methods are synchronized; the sink is called within them and must not block.
  */
 public final class ServerRegistry extends FollowedKeys {
     private static final Logger LOG = Logger.getLogger(ServerRegistry.class);
+    /** A registration expires only after its server could not reach the store for three heartbeats. */
+    private static final long MIN_OUTAGE_MILLIS = 2000;
     /** Live servers register again within two seconds after the store is available again. */
     private static final long REREGISTRATION_MILLIS = 2100;
+    /** A server that has left must get no requests three seconds after the store is available again. */
+    private static final long REREGISTRATION_LIMIT_MILLIS = 2800;
+
+    private static final ReregistrationTerms REREGISTRATION =
+            ReregistrationTerms.ofMillis(MIN_OUTAGE_MILLIS, REREGISTRATION_MILLIS, REREGISTRATION_LIMIT_MILLIS);
 
     private final SiteCodec codec;
     private final Sink sink;
@@ -58,7 +65,7 @@
      * @param nanoClock the monotonic clock
      */
     public ServerRegistry(SiteCodec codec, Sink sink, LongSupplier nanoClock) {
-        super("servers", REREGISTRATION_MILLIS, nanoClock);
+        super("servers", REREGISTRATION, nanoClock);
         this.codec = Objects.requireNonNull(codec, "codec");
         this.sink = Objects.requireNonNull(sink, "sink");
         this.nanoClock = Objects.requireNonNull(nanoClock, "nanoClock");
--- a/daemon/src/main/java/org/heatherreach/daemon/site/TableInUse.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/TableInUse.java
@@ -25,7 +25,7 @@
 
     /** Creates an instance without a routing table. */
     public TableInUse(SiteCodec codec) {
-        super("table", 0, System::nanoTime);
+        super("table", ReregistrationTerms.NONE, System::nanoTime);
         this.codec = Objects.requireNonNull(codec, "codec");
     }
 
