Record in the store which requests crash servers

Cause: each daemon counts crashes in memory; a report is sent once, so a daemon that starts later needs two more crashes to identify the request again.

Change: the identified request is written to the store under a lease of ten minutes; each daemon reads it with its other keys before it is ready. New meter heatherreach_refused_requests.

--- a/daemon/src/main/java/org/heatherreach/daemon/site/CrashMonitor.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/CrashMonitor.java
@@ -26,7 +26,8 @@
 
 /**
  * Identifies requests that crash servers and refuses them. Each daemon has its own {@link CrashLog} for each service;
- * since every crash is reported to all daemons, all of them refuse the same requests.
+ * since every crash is reported to all daemons, all of them refuse the same requests. The identified requests are also
+ * recorded for the daemons that start later.
  *
  * <p>Invariants: a lost response counts as a crash only if the server accepts no connection afterwards; a suspected
  * request that completes is cleared.
@@ -41,6 +42,7 @@
 
     private final ServerProbe probe;
     private final CrashPeers peers;
+    private final RefusedRequests recorded;
     private final RandomGenerator random;
     private final LongSupplier nanoClock;
     private final Map<ServiceId, CrashLog> logsByService = new HashMap<>();
@@ -53,24 +55,35 @@
      *
      * @param probe checks whether a server still accepts connections
      * @param peers receives the crash reports of this daemon
+     * @param recorded the identified requests that all daemons refuse
      * @param random generates the ids of crashes
      * @param nanoClock the monotonic clock
      */
-    CrashMonitor(ServerProbe probe, CrashPeers peers, RandomGenerator random, LongSupplier nanoClock) {
+    CrashMonitor(
+            ServerProbe probe,
+            CrashPeers peers,
+            RefusedRequests recorded,
+            RandomGenerator random,
+            LongSupplier nanoClock) {
         this.probe = Objects.requireNonNull(probe, "probe");
         this.peers = Objects.requireNonNull(peers, "peers");
+        this.recorded = Objects.requireNonNull(recorded, "recorded");
         this.random = Objects.requireNonNull(random, "random");
         this.nanoClock = Objects.requireNonNull(nanoClock, "nanoClock");
     }
 
     @Override
     public boolean refuses(ServiceId service, long fingerprint) {
+        Fingerprint request = new Fingerprint(fingerprint);
+        if (recorded.contains(request)) {
+            return true;
+        }
         Set<Fingerprint> snapshot = refused;
-        if (snapshot.isEmpty() || !snapshot.contains(new Fingerprint(fingerprint))) {
+        if (snapshot.isEmpty() || !snapshot.contains(request)) {
             return false;
         }
         synchronized (this) {
-            return log(service).refuses(new Fingerprint(fingerprint), nanoClock.getAsLong());
+            return log(service).refuses(request, nanoClock.getAsLong());
         }
     }
 
@@ -84,27 +97,36 @@
             handleLostResponse(service, server, request);
         } else if (result.failure().isAnswered()
                 && result.failure() != FailureKind.SHED
-                && !suspects.isEmpty()
-                && suspects.contains(request)) {
+                && (suspects.contains(request) || recorded.contains(request))) {
             SuspectUpdate update = new SuspectUpdate(service, List.of(Suspect.cleared(request)));
-            recordCleared(update);
+            recordCleared(update, true);
+            // A daemon that started after the identification knows the request from the record only.
+            recorded.remove(request);
             peers.reportCleared(update);
         }
     }
 
-    /** Records a crash that this daemon or a peer reports. */
-    synchronized void recordCrash(CrashReport report) {
+    /** Records a crash that a peer reports. */
+    void recordCrash(CrashReport report) {
+        recordCrash(report, false);
+    }
+
+    private synchronized void recordCrash(CrashReport report, boolean firstHand) {
         log(report.service()).addReport(report, nanoClock.getAsLong());
         LOG.infof(
                 "server=%s service=%s state=crashed requests=%s",
                 report.server(), report.service(), report.fingerprints());
-        updateSnapshots();
+        updateSnapshots(firstHand);
+    }
+
+    /** Records that suspected requests completed at a peer. */
+    void recordCleared(SuspectUpdate update) {
+        recordCleared(update, false);
     }
 
-    /** Records that suspected requests completed at this daemon or at a peer. */
-    synchronized void recordCleared(SuspectUpdate update) {
+    private synchronized void recordCleared(SuspectUpdate update, boolean firstHand) {
         log(update.service()).applyClearings(update, nanoClock.getAsLong());
-        updateSnapshots();
+        updateSnapshots(firstHand);
     }
 
     private synchronized void handleLostResponse(ServiceId service, ServerId server, Fingerprint request) {
@@ -128,25 +150,38 @@
             return;
         }
         CrashReport report = new CrashReport(service, server, new ArrayList<>(requests));
-        recordCrash(report);
+        recordCrash(report, true);
         peers.reportCrash(report);
     }
 
-    private void updateSnapshots() {
+    /** Determines the suspected and refused requests, and records those whose refusal began or ended. */
+    private void updateSnapshots(boolean firstHand) {
         Set<Fingerprint> nowSuspected = new HashSet<>();
-        Set<Fingerprint> nowRefused = new HashSet<>();
-        logsByService
-                .values()
-                .forEach(log -> log.snapshot(nanoClock.getAsLong()).suspects().stream()
-                        .filter(suspect -> !suspect.isCleared())
-                        .forEach(
-                                suspect -> (suspect.refused() ? nowRefused : nowSuspected).add(suspect.fingerprint())));
-        nowRefused.stream()
-                .filter(request -> !refused.contains(request))
-                .forEach(request -> LOG.warnf("fingerprint=%s state=refused reason=crashes-servers", request));
-        nowSuspected.addAll(nowRefused);
+        Map<Fingerprint, ServiceId> nowRefused = new HashMap<>();
+        logsByService.forEach((service, log) -> log.snapshot(nanoClock.getAsLong()).suspects().stream()
+                .filter(suspect -> !suspect.isCleared())
+                .forEach(suspect -> {
+                    nowSuspected.add(suspect.fingerprint());
+                    if (suspect.refused()) {
+                        nowRefused.put(suspect.fingerprint(), service);
+                    }
+                }));
+        Set<Fingerprint> earlier = refused;
         suspects = nowSuspected;
-        refused = nowRefused;
+        refused = Set.copyOf(nowRefused.keySet());
+        nowRefused.forEach((request, service) -> {
+            if (!earlier.contains(request)) {
+                LOG.warnf("fingerprint=%s state=refused reason=crashes-servers", request);
+                recorded.add(service, request, firstHand);
+            }
+        });
+        earlier.stream().filter(request -> !nowRefused.containsKey(request)).forEach(request -> {
+            if (firstHand) {
+                recorded.remove(request);
+            } else {
+                recorded.cancel(request);
+            }
+        });
     }
 
     private CrashLog log(ServiceId service) {
--- a/daemon/src/main/java/org/heatherreach/daemon/site/SiteDaemon.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/SiteDaemon.java
@@ -117,8 +117,14 @@
         scheduler = new PooledScheduler(settings.zone(), random.split(), RING_CAPACITY, sender);
         servers = new ServerRegistry(codec, scheduler::changePool, System::nanoTime);
         meterRegistry.gauge("heatherreach.registrations.skipped", servers, ServerRegistry::skippedCount);
+        StoredRefusals refusals = new StoredRefusals(store, new Random(random.nextLong()), System::nanoTime);
+        meterRegistry.gauge("heatherreach.refused.requests", refusals, StoredRefusals::recordedCount);
         CrashMonitor crashes = new CrashMonitor(
-                new ConnectProbe(group, servers::address), sender, new Random(random.nextLong()), System::nanoTime);
+                new ConnectProbe(group, servers::address),
+                sender,
+                refusals,
+                new Random(random.nextLong()),
+                System::nanoTime);
         PeerUpdateReceiver receiver = new PeerUpdateReceiver(scheduler, crashes, sender);
         Counter droppedLines = meterRegistry.counter("heatherreach.log.lines.dropped");
         RequestIdSource requestIds = new RequestIdSource(incarnation);
@@ -139,8 +145,15 @@
                 new RequestHistory(REQUEST_HISTORY_ENTRIES, new RequestLog(droppedLines::increment)));
         socket.bind(
                 settings.peer().getAddress().getHostAddress(), settings.peer().getPort(), receiver);
-        SiteKeys keys = new SiteKeys(
-                Map.of(codec.operatorPrefix(), table, codec.serverPrefix(), servers, DaemonRegistry.PREFIX, daemons));
+        SiteKeys keys = new SiteKeys(Map.of(
+                codec.operatorPrefix(),
+                table,
+                codec.serverPrefix(),
+                servers,
+                StoredRefusals.PREFIX,
+                refusals,
+                DaemonRegistry.PREFIX,
+                daemons));
         new KeyFollower(store, KeyRange.ALL, new Random(random.nextLong()), keys).start();
         daemons.start();
         timer.scheduleWithFixedDelay(
--- /dev/null
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/StoredRefusals.java
@@ -0,0 +1,234 @@
+package org.heatherreach.daemon.site;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vavr.control.Either;
+import org.heatherreach.coordination.crash.Fingerprint;
+import org.heatherreach.protocol.kv.KeyRange;
+import org.heatherreach.protocol.kv.KeyValue;
+import org.heatherreach.protocol.kv.Lease;
+import org.heatherreach.protocol.kv.Operation;
+import org.heatherreach.protocol.kv.RangeResult;
+import org.heatherreach.protocol.peer.wire.Suspect;
+import org.heatherreach.protocol.peer.wire.SuspectUpdate;
+import org.heatherreach.state.id.ServiceId;
+import org.heatherreach.transport.kv.KeyValueError;
+import org.heatherreach.transport.kv.KeyValueStore;
+import org.heatherreach.transport.kv.RetryDelays;
+import org.jboss.logging.Logger;
+import reactor.core.publisher.Mono;
+
+/**
+ * The refused requests in the store, where daemons that start later find them. Each has a key of its own under a lease,
+ * so that none stays forever.
+ *
+ * <p>Invariants: a request is written only until its key has been read; a key that is lost in an outage of the store is
+ * written again; a request that was cancelled or removed is not written.
+ *
+ * <p>Thread safety: the methods are synchronized or read a snapshot, and never block.
+ */
+final class StoredRefusals extends FollowedKeys implements RefusedRequests {
+    /** The prefix of the keys of refused requests. */
+    static final String PREFIX = "heatherreach/refused/";
+
+    private static final Logger LOG = Logger.getLogger(StoredRefusals.class);
+    /** The longest lease that the store grants. */
+    private static final long LEASE_TTL_SECONDS = 600;
+
+    private static final long MIN_SECOND_HAND_DELAY_MILLIS = 1000;
+    private static final long MAX_SECOND_HAND_DELAY_MILLIS = 3000;
+    private static final RetryDelays RETRY_DELAYS = new RetryDelays(1, 500, 10_000);
+    private static final long REREGISTRATION_MILLIS = 3000;
+
+    private final KeyValueStore store;
+    private final RandomGenerator random;
+    private final Map<Fingerprint, ServiceId> servicesByRequest = new HashMap<>();
+    private final Set<Fingerprint> unwritten = new HashSet<>();
+    private volatile Set<Fingerprint> snapshot = Set.of();
+
+    /**
+     * Creates an empty record.
+     *
+     * @param store the store
+     * @param random spreads the writes of the daemons
+     * @param nanoClock the monotonic clock
+     */
+    StoredRefusals(KeyValueStore store, RandomGenerator random, LongSupplier nanoClock) {
+        super("refused-requests", ReregistrationTerms.afterAnyOutage(REREGISTRATION_MILLIS), nanoClock);
+        this.store = Objects.requireNonNull(store, "store");
+        this.random = Objects.requireNonNull(random, "random");
+    }
+
+    @Override
+    public boolean contains(Fingerprint request) {
+        Set<Fingerprint> known = snapshot;
+        return !known.isEmpty() && known.contains(request);
+    }
+
+    /** Returns how many requests are known to be recorded in the store. */
+    synchronized int recordedCount() {
+        return servicesByRequest.size() - unwritten.size();
+    }
+
+    @Override
+    public synchronized void add(ServiceId service, Fingerprint request, boolean firstHand) {
+        if (servicesByRequest.putIfAbsent(request, service) == null) {
+            updateSnapshot();
+            write(request, firstHand ? Duration.ZERO : secondHandDelay());
+        }
+    }
+
+    @Override
+    public synchronized void cancel(Fingerprint request) {
+        if (unwritten.remove(request)) {
+            servicesByRequest.remove(request);
+            updateSnapshot();
+        }
+    }
+
+    @Override
+    public synchronized void remove(Fingerprint request) {
+        unwritten.remove(request);
+        if (servicesByRequest.remove(request) != null) {
+            updateSnapshot();
+            // The key may exist even if this daemon has not read it yet, because another daemon may have written it.
+            repeatUntilDone(() -> delete(request), Duration.ZERO);
+        }
+    }
+
+    @Override
+    void applyAll(RangeResult all) {
+        Set<String> missing = new HashSet<>();
+        servicesByRequest.keySet().forEach(request -> missing.add(keyOf(request)));
+        for (KeyValue value : all.values()) {
+            missing.remove(value.key());
+            apply(value);
+        }
+        missing.forEach(key -> applyDeletion(key, all.revision()));
+    }
+
+    @Override
+    void apply(KeyValue entry) {
+        try {
+            SuspectUpdate update = SuspectUpdate.parseFrom(entry.value());
+            ServiceId service = new ServiceId(update.getService());
+            for (Suspect suspect : update.getSuspectsList()) {
+                Fingerprint request = new Fingerprint(suspect.getFingerprint());
+                unwritten.remove(request);
+                if (entry.key().equals(keyOf(request)) && servicesByRequest.put(request, service) == null) {
+                    LOG.warnf("fingerprint=%s service=%s state=refused reason=recorded-in-store", request, service);
+                }
+            }
+            updateSnapshot();
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+            LOG.warnf("refused-request=%s state=skipped reason=\"%s\"", entry.key(), e.getMessage());
+        }
+    }
+
+    @Override
+    void applyDeletion(String key, long revision) {
+        List<Fingerprint> deleted = servicesByRequest.keySet().stream()
+                .filter(request -> key.equals(keyOf(request)) && !unwritten.contains(request))
+                .toList();
+        for (Fingerprint request : deleted) {
+            if (mayReregister()) {
+                write(request, secondHandDelay());
+            } else {
+                servicesByRequest.remove(request);
+                LOG.infof("fingerprint=%s state=no-longer-refused revision=%d", request, revision);
+            }
+        }
+        updateSnapshot();
+    }
+
+    private void updateSnapshot() {
+        snapshot = Set.copyOf(servicesByRequest.keySet());
+    }
+
+    private void write(Fingerprint request, Duration delay) {
+        if (unwritten.add(request)) {
+            repeatUntilDone(() -> writeOnce(request), delay);
+        }
+    }
+
+    /** Writes the key of a request unless it was read meanwhile; returns whether nothing is left to do. */
+    private Mono<Boolean> writeOnce(Fingerprint request) {
+        if (!isUnwritten(request)) {
+            return Mono.just(true);
+        }
+        return store.grantLease(LEASE_TTL_SECONDS)
+                .flatMap(granted -> granted.isLeft() ? Mono.just(false) : put(request, granted.get()));
+    }
+
+    private synchronized boolean isUnwritten(Fingerprint request) {
+        return unwritten.contains(request);
+    }
+
+    private synchronized Mono<Boolean> put(Fingerprint request, Lease lease) {
+        if (!unwritten.contains(request)) {
+            return Mono.just(true);
+        }
+        byte[] value = SuspectUpdate.newBuilder()
+                .setService(servicesByRequest.get(request).value())
+                .addSuspects(
+                        Suspect.newBuilder().setFingerprint(request.value()).setRefused(true))
+                .build()
+                .toByteArray();
+        return store.put(new Operation.Put(keyOf(request), value, lease.id())).map(result -> isDone(result, request));
+    }
+
+    private synchronized boolean isDone(Either<KeyValueError, Long> result, Fingerprint request) {
+        if (result.isLeft()) {
+            LOG.warnf(
+                    "fingerprint=%s state=unrecorded reason=\"%s\"",
+                    request, result.getLeft().reason());
+            return false;
+        }
+        unwritten.remove(request);
+        return true;
+    }
+
+    private Mono<Boolean> delete(Fingerprint request) {
+        return store.delete(KeyRange.of(keyOf(request))).map(Either::isRight);
+    }
+
+    private void repeatUntilDone(Supplier<Mono<Boolean>> step, Duration delay) {
+        repeatUntilDone(step, delay, 1);
+    }
+
+    private void repeatUntilDone(Supplier<Mono<Boolean>> step, Duration delay, int attempt) {
+        Mono.delay(delay)
+                .then(Mono.defer(step))
+                .onErrorResume(error -> {
+                    LOG.errorf(error, "A refused request could not be recorded; it is tried again");
+                    return Mono.just(false);
+                })
+                .subscribe(done -> {
+                    if (!done) {
+                        repeatUntilDone(step, retryDelay(attempt), attempt + 1);
+                    }
+                });
+    }
+
+    private synchronized Duration retryDelay(int attempt) {
+        return RETRY_DELAYS.delayAfter(attempt, random);
+    }
+
+    private Duration secondHandDelay() {
+        return Duration.ofMillis(random.nextLong(MIN_SECOND_HAND_DELAY_MILLIS, MAX_SECOND_HAND_DELAY_MILLIS));
+    }
+
+    private static String keyOf(Fingerprint request) {
+        return PREFIX + request;
+    }
+}
--- a/daemon/src/test/java/org/heatherreach/daemon/site/CrashMonitorTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/site/CrashMonitorTest.java
@@ -1,13 +1,16 @@
 package org.heatherreach.daemon.site;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import net.jqwik.api.Example;
 import org.heatherreach.coordination.crash.CrashReport;
+import org.heatherreach.coordination.crash.Fingerprint;
 import org.heatherreach.coordination.crash.SuspectUpdate;
 import org.heatherreach.state.id.ServerId;
 import org.heatherreach.state.id.ServiceId;
@@ -24,6 +27,7 @@
 
     private final List<CrashMonitor> daemons = new ArrayList<>();
     private final List<Consumer<Boolean>> probes = new ArrayList<>();
+    private final Set<Fingerprint> recorded = new HashSet<>();
     private long nowNanos;
 
     // Guards against a request that crashes one server after another because each daemon knows only the crashes that it
@@ -70,6 +74,35 @@
         assertThat(second.refuses(SERVICE, OTHER)).isFalse();
     }
 
+    // Guards against a restarted daemon that sends a request on which crashed two servers before it started.
+    @Example
+    void refusesAnIdentifiedRequestOnADaemonThatStartsLater() {
+        CrashMonitor first = addDaemon();
+        loseResponse(first, "a", CRASHING);
+        finishProbes(false);
+        assertThat(addDaemon().refuses(SERVICE, CRASHING)).isFalse();
+        loseResponse(first, "b", CRASHING);
+        finishProbes(false);
+        CrashMonitor restarted = addDaemon();
+        assertThat(restarted.refuses(SERVICE, CRASHING)).isTrue();
+        assertThat(restarted.refuses(SERVICE, OTHER)).isFalse();
+    }
+
+    // Guards against a request that stays refused by later daemons although it completed after its identification.
+    @Example
+    void removesARequestFromTheRecordWhenItCompletes() {
+        CrashMonitor first = addDaemon();
+        loseResponse(first, "a", CRASHING);
+        finishProbes(false);
+        loseResponse(first, "b", CRASHING);
+        finishProbes(false);
+        CrashMonitor restarted = addDaemon();
+        restarted.ended(SERVICE, new ServerId("c"), CRASHING, result(FailureKind.NONE), nowNanos);
+        assertThat(recorded).isEmpty();
+        assertThat(first.refuses(SERVICE, CRASHING)).isFalse();
+        assertThat(restarted.refuses(SERVICE, CRASHING)).isFalse();
+    }
+
     private void loseResponse(CrashMonitor daemon, String server, long fingerprint) {
         daemon.ended(SERVICE, new ServerId(server), fingerprint, result(FailureKind.TRUNCATED), nowNanos);
     }
@@ -99,8 +132,35 @@
             }
         };
         self[0] = new CrashMonitor(
-                (server, listener) -> probes.add(listener), peers, new Random(daemons.size()), () -> nowNanos);
+                (server, listener) -> probes.add(listener),
+                peers,
+                new SharedRecord(),
+                new Random(daemons.size()),
+                () -> nowNanos);
         daemons.add(self[0]);
         return self[0];
     }
+
+    /** The record as each daemon reads it from the store at once. */
+    private final class SharedRecord implements RefusedRequests {
+        @Override
+        public boolean contains(Fingerprint request) {
+            return recorded.contains(request);
+        }
+
+        @Override
+        public void add(ServiceId service, Fingerprint request, boolean firstHand) {
+            if (firstHand) {
+                recorded.add(request);
+            }
+        }
+
+        @Override
+        public void cancel(Fingerprint request) {}
+
+        @Override
+        public void remove(Fingerprint request) {
+            recorded.remove(request);
+        }
+    }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/heatherreach/daemon/site/StoredRefusalsTest.java
@@ -0,0 +1,223 @@
+package org.heatherreach.daemon.site;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+import io.vavr.control.Either;
+import net.jqwik.api.Example;
+import org.heatherreach.coordination.crash.Fingerprint;
+import org.heatherreach.protocol.kv.KeyRange;
+import org.heatherreach.protocol.kv.KeyValue;
+import org.heatherreach.protocol.kv.Lease;
+import org.heatherreach.protocol.kv.Operation;
+import org.heatherreach.protocol.kv.RangeResult;
+import org.heatherreach.protocol.kv.Transaction;
+import org.heatherreach.protocol.kv.TransactionResult;
+import org.heatherreach.protocol.kv.WatchEvent;
+import org.heatherreach.state.id.ServiceId;
+import org.heatherreach.transport.kv.KeyValueError;
+import org.heatherreach.transport.kv.KeyValueStore;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class StoredRefusalsTest {
+    private static final ServiceId SERVICE = new ServiceId("desk");
+    private static final Fingerprint REQUEST = new Fingerprint(-7);
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+    private final MemoryStore store = new MemoryStore();
+    private long nowNanos;
+    private final StoredRefusals first = follow(1);
+    private final StoredRefusals second = follow(2);
+
+    // Guards against a record that dies with the daemons: all of them may be killed at the same moment.
+    @Example
+    void tellsADaemonThatStartsAfterAllOthersHaveEnded() {
+        first.add(SERVICE, REQUEST, true);
+        await(() -> store.values.size() == 1);
+        StoredRefusals restarted = follow(3);
+        restarted.replace(store.all());
+        assertThat(restarted.contains(REQUEST)).isTrue();
+        assertThat(restarted.contains(new Fingerprint(8))).isFalse();
+        assertThat(store.leasesOfPuts).containsExactly(MemoryStore.LEASE_ID);
+    }
+
+    // Guards against a record that is missing because the daemon that saw the crash ended before it wrote.
+    @Example
+    void writesForADaemonThatDidNot() {
+        second.add(SERVICE, REQUEST, false);
+        await(() -> store.values.size() == 1);
+    }
+
+    // Guards against a write of every daemon for each request: calls have a price.
+    @Example
+    void writesNothingThatAnotherDaemonHasWritten() {
+        first.add(SERVICE, REQUEST, true);
+        await(() -> store.values.size() == 1);
+        int calls = store.calls;
+        second.add(SERVICE, REQUEST, false);
+        second.add(SERVICE, REQUEST, true);
+        assertThat(store.calls).isEqualTo(calls);
+    }
+
+    // Guards against a lost record when the store can't be written at first.
+    @Example
+    void writesAgainAfterAFailure() {
+        store.failing = true;
+        first.add(SERVICE, REQUEST, true);
+        await(() -> store.calls > 0);
+        assertThat(first.contains(REQUEST)).isTrue();
+        store.failing = false;
+        await(() -> store.values.size() == 1);
+    }
+
+    // Guards against a record that is lost because leases end while the store is down.
+    @Example
+    void writesAKeyAgainThatWasLostInAnOutage() {
+        first.add(SERVICE, REQUEST, true);
+        await(() -> store.values.size() == 1);
+        store.values.clear();
+        nowNanos += 5 * NANOS_PER_SECOND;
+        first.storeFailed(new KeyValueError.Unavailable("down"));
+        nowNanos += NANOS_PER_SECOND;
+        first.replace(store.all());
+        assertThat(first.contains(REQUEST)).isTrue();
+        await(() -> store.values.size() == 1);
+    }
+
+    // Guards against requests that stay refused although one completed, or although the lease of the record has ended.
+    @Example
+    void forgetsARemovedRequestEverywhere() {
+        first.add(SERVICE, REQUEST, true);
+        await(() -> store.values.size() == 1);
+        second.remove(REQUEST);
+        await(() -> !first.contains(REQUEST) && !second.contains(REQUEST));
+        assertThat(store.values).isEmpty();
+    }
+
+    // Guards against writing a request that a peer has cleared in the meantime.
+    @Example
+    void writesNoCancelledRequest() {
+        store.failing = true;
+        first.add(SERVICE, REQUEST, true);
+        await(() -> store.calls > 0);
+        first.cancel(REQUEST);
+        store.failing = false;
+        Fingerprint other = new Fingerprint(9);
+        first.add(SERVICE, other, false);
+        await(() -> first.contains(other) && store.values.size() == 1);
+        assertThat(first.contains(REQUEST)).isFalse();
+    }
+
+    // Guards against an odd entry of another writer that ends the watch or refuses sound requests.
+    @Example
+    void skipsOddEntries() {
+        byte[] text = "no record".getBytes(StandardCharsets.UTF_8);
+        first.put(new KeyValue(StoredRefusals.PREFIX + "x", text, 1, 1, 1, 0));
+        first.put(new KeyValue(StoredRefusals.PREFIX + REQUEST, new byte[0], 1, 2, 1, 0));
+        assertThat(first.contains(REQUEST)).isFalse();
+    }
+
+    private StoredRefusals follow(int seed) {
+        StoredRefusals refusals = new StoredRefusals(store, new Random(seed), () -> nowNanos);
+        store.followers.add(refusals);
+        return refusals;
+    }
+
+    /** Waits for a condition. The time limit only ends a test that hangs; no test depends on its value. */
+    private static void await(BooleanSupplier condition) {
+        for (int i = 0; i < 20_000; i++) {
+            if (condition.getAsBoolean()) {
+                return;
+            }
+            LockSupport.parkNanos(1_000_000);
+        }
+        throw new AssertionError("the condition was not met within the time limit");
+    }
+
+    /** A store in memory that reports each change to its followers at once. */
+    private static final class MemoryStore implements KeyValueStore {
+        private static final long LEASE_ID = 7;
+
+        private final Map<String, KeyValue> values = new TreeMap<>();
+        private final List<Long> leasesOfPuts = new ArrayList<>();
+        private final List<StoredRefusals> followers = new ArrayList<>();
+        private long revision = 1;
+        private volatile int calls;
+        private volatile boolean failing;
+
+        private synchronized RangeResult all() {
+            return new RangeResult(revision, List.copyOf(values.values()));
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, RangeResult>> range(KeyRange range, boolean keysOnly) {
+            return answer(this::all);
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, Long>> put(Operation.Put put) {
+            return answer(() -> {
+                revision++;
+                KeyValue entry = new KeyValue(put.key(), put.value(), revision, revision, 1, put.leaseId());
+                values.put(put.key(), entry);
+                leasesOfPuts.add(put.leaseId());
+                followers.forEach(follower -> follower.put(entry));
+                return revision;
+            });
+        }
+
+        @Override
+        public synchronized Mono<Either<KeyValueError, Long>> delete(KeyRange range) {
+            return answer(() -> {
+                revision++;
+                values.remove(range.key());
+                followers.forEach(follower -> follower.deleted(range.key(), revision));
+                return revision;
+            });
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, TransactionResult>> transact(Transaction transaction) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, Lease>> grantLease(long ttlSeconds) {
+            return answer(() -> new Lease(LEASE_ID, ttlSeconds));
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, Lease>> keepAlive(long leaseId) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Mono<Either<KeyValueError, Long>> revokeLease(long leaseId) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Flux<Either<KeyValueError, WatchEvent>> watch(KeyRange range, long startRevision) {
+            return Flux.never();
+        }
+
+        private <T> Mono<Either<KeyValueError, T>> answer(Supplier<T> call) {
+            return Mono.fromSupplier(() -> {
+                synchronized (this) {
+                    calls++;
+                    return failing ? Either.left(new KeyValueError.Unavailable("down")) : Either.right(call.get());
+                }
+            });
+        }
+    }
+}
