Refuse the requests that wait before a planned stop ends

Cause: the scheduler went on as before until the process ended.

The times of a stop are in ShutdownDeadlines.

--- a/daemon/src/main/java/org/heatherreach/daemon/site/SiteDaemon.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/SiteDaemon.java
@@ -59,11 +59,6 @@
 
     private static final long CLOCK_CHECK_INTERVAL_MILLIS = 250;
     private static final long POLL_INTERVAL_MILLIS = 20;
-    /** How long before the end of the grace period the daemon stops waiting for requests in flight. */
-    private static final long EXIT_MARGIN_MILLIS = 700;
-    /** Some callers keep a directory response for up to three times the permitted time. */
-    private static final int MAX_KEEP_FACTOR = 3;
-
     private static final int MAX_HEAD_BYTES = 64 * 1024;
     private static final long MAX_BODY_BYTES = 64L * 1024 * 1024;
     private static final int MAX_RETAINED_BODY_BYTES = 1024 * 1024;
@@ -180,27 +175,28 @@
 
     /**
      * Shuts down gracefully: leaves the directory, serves until no caller still keeps this daemon's address, then
-     * refuses new requests and waits for those in flight.
+     * refuses new requests and waits for those in flight. Requests that wait for a server are refused in time.
      */
     public void shutDown() {
-        long startNanos = System.nanoTime();
+        ShutdownDeadlines deadlines =
+                ShutdownDeadlines.of(System.nanoTime(), settings.graceMillis(), settings.addressKeepMillis());
         if (!gate.leave()) {
             return;
         }
         LOG.infof("daemon=%s state=leaving in-flight=%d", settings.daemon(), meters.inFlight());
         daemons.leave();
         gate.drain();
-        long exitDeadlineNanos =
-                startNanos + TimeUnit.MILLISECONDS.toNanos(settings.graceMillis() - EXIT_MARGIN_MILLIS);
-        long addressExpiryNanos =
-                startNanos + TimeUnit.MILLISECONDS.toNanos(MAX_KEEP_FACTOR * settings.addressKeepMillis());
-        while (addressExpiryNanos - System.nanoTime() > 0) {
+        while (deadlines.exitNanos() - System.nanoTime() > 0
+                && (deadlines.addressExpiryNanos() - System.nanoTime() > 0 || meters.inFlight() > 0)) {
+            if (deadlines.addressExpiryNanos() - System.nanoTime() <= 0) {
+                gate.stop();
+            }
+            if (deadlines.lastDispatchNanos() - System.nanoTime() <= 0) {
+                scheduler.stopDispatching();
+            }
             sleep();
         }
         gate.stop();
-        while (meters.inFlight() > 0 && exitDeadlineNanos - System.nanoTime() > 0) {
-            sleep();
-        }
         daemons.close();
         sleep();
         LOG.infof("daemon=%s state=stopped in-flight=%d", settings.daemon(), meters.inFlight());
--- a/transport/src/main/java/org/heatherreach/transport/http/PooledScheduler.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/PooledScheduler.java
@@ -51,6 +51,7 @@
     private final LoadReportSchedule sameZoneReports;
     private final LoadReportSchedule otherZonesReports;
     private List<DaemonId> zoneDaemons = List.of();
+    private boolean stopped;
 
     /**
      * Creates a scheduler and starts its thread.
@@ -73,6 +74,10 @@
     @Override
     public boolean submit(Submission submission) {
         return duty.offer(() -> {
+            if (stopped) {
+                submission.callback().accept(new ScheduleDecision.Refuse(RefusalReason.SHUTTING_DOWN, 0));
+                return;
+            }
             long nowNanos = System.nanoTime();
             Pool pool = pool(submission.service());
             entries.put(submission.ticket(), new Entry(submission, pool));
@@ -194,10 +199,20 @@
         });
     }
 
+    /**
+     * Refuses the requests that wait and every later one, because the daemon ends before a server could answer them.
+     * Requests that were dispatched are not affected. May be called repeatedly.
+     */
+    public void stopDispatching() {
+        offerAlways(() -> {
+            stopped = true;
+            pools.values().forEach(pool -> apply(pool, pool.serverPool.refuseWaiting(RefusalReason.SHUTTING_DOWN)));
+        });
+    }
+
     @Override
     public void close() {
-        offerAlways(() -> pools.values()
-                .forEach(pool -> apply(pool, pool.serverPool.refuseWaiting(RefusalReason.SHUTTING_DOWN))));
+        stopDispatching();
         duty.close();
     }
 
