--- a/transport/src/test/java/org/heatherreach/transport/http/EndlessResponseTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/EndlessResponseTest.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import net.jqwik.api.Example;
 
@@ -15,6 +16,8 @@
 class EndlessResponseTest {
     private static final byte[] ORDER = {'o'};
     private static final long AWAIT_SECONDS = 20;
+    /** Buffers of the daemon for one response and of the sockets on both sides; a relay without bounds takes gigabytes. */
+    private static final long MAX_HELD_BYTES = 32L * 1024 * 1024;
 
     /** Sends the first text once and then the other one until the daemon closes the connection. */
     private static ScriptedBackend.Script endless(String first, String repeated, CountDownLatch closed) {
@@ -39,6 +42,15 @@
         }
     }
 
+    /** Reads a response and returns its status, or that it was cut. */
+    private static String endOf(RawCaller caller) {
+        try {
+            return "status " + caller.read("GET").status();
+        } catch (IOException e) {
+            return "cut";
+        }
+    }
+
     // Guards against a daemon that reads a head without end until the deadline of the request or the end of its memory.
     // The caller is told at once that the server is lost.
     @Example
@@ -132,4 +144,84 @@
             assertThat(caller.chunksRead()).isLessThan(chunkCount / 10);
         }
     }
+
+    // Guards against a refusal or a foreign answer whose body is read, or kept in memory, without end. The caller is
+    // answered at once, and the connection is closed.
+    @Example
+    void closesARefusalWithoutEnd() throws Exception {
+        List<String> heads = List.of(
+                "HTTP/1.1 503 X\r\nRetry-After: 1\r\nBackend-Shed: true\r\n",
+                "HTTP/1.1 200 X\r\nHeatherreach-Request-Id: of-another-request\r\n");
+        for (String head : heads) {
+            CountDownLatch closed = new CountDownLatch(1);
+            try (ProxyFixture fixture = new ProxyFixture()
+                            .backend(endless(head + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n", closed))
+                            .start();
+                    RawCaller caller = fixture.caller()) {
+                assertThat(caller.post("/", ORDER).status()).as(head).isGreaterThan(500);
+                assertThat(closed.await(AWAIT_SECONDS, TimeUnit.SECONDS))
+                        .as(head)
+                        .isTrue();
+            }
+        }
+    }
+
+    // Guards against chunk sizes, chunk extensions and trailers without end, which are bytes of no body.
+    @Example
+    void givesUpOnChunkFramingWithoutEnd() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        List<String[]> framings = List.of(
+                new String[] {head, "0".repeat(1000)},
+                new String[] {head + "5", ";a=" + "x".repeat(1000)},
+                new String[] {head + "5\r\nhello\r\n0\r\nX-Trailer: ", "y".repeat(1000)});
+        for (String[] framing : framings) {
+            CountDownLatch closed = new CountDownLatch(1);
+            try (ProxyFixture fixture = new ProxyFixture()
+                            .backend(endless(framing[0], framing[1], closed))
+                            .start();
+                    RawCaller caller = fixture.caller()) {
+                caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+                assertThat(closed.await(AWAIT_SECONDS, TimeUnit.SECONDS))
+                        .as(framing[1].substring(0, 5))
+                        .isTrue();
+                assertThat(endOf(caller)).as(framing[1].substring(0, 5)).isIn("cut", "status 502");
+            }
+        }
+    }
+
+    // Guards against a daemon that runs out of memory because it reads a body without end faster than the caller takes
+    // it.
+    @Example
+    void readsNoMoreThanTheCallerTakes() throws Exception {
+        for (int partLength : new int[] {1, 500, 60_000}) {
+            String part = Integer.toHexString(partLength) + "\r\n" + "x".repeat(partLength) + "\r\n";
+            String batch = part.repeat(Math.max(1, 60_000 / part.length()));
+            CountDownLatch closed = new CountDownLatch(1);
+            AtomicLong sentBytes = new AtomicLong();
+            try (ProxyFixture fixture = new ProxyFixture()
+                            .backend(call -> {
+                                try {
+                                    call.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                                    while (true) {
+                                        call.send(batch);
+                                        sentBytes.addAndGet(batch.length());
+                                    }
+                                } catch (IOException e) {
+                                    closed.countDown();
+                                    return false;
+                                }
+                            })
+                            .start();
+                    RawCaller caller = fixture.caller()) {
+                caller.send("GET / HTTP/1.1\r\nHost: x\r\nHeatherreach-Timeout-Ms: 300\r\n\r\n");
+                assertThat(closed.await(AWAIT_SECONDS, TimeUnit.SECONDS))
+                        .as("parts of %d bytes", partLength)
+                        .isTrue();
+                assertThat(sentBytes.get())
+                        .as("parts of %d bytes", partLength)
+                        .isPositive()
+                        .isLessThan(MAX_HELD_BYTES);
+            }
+        }
+    }
 }
