Close the connection after a refusal without an id

Cause: a refusal without the id of its request was taken for the answer to whatever was in flight.

Change: the connection is closed after such a refusal.

--- a/transport/src/main/java/org/heatherreach/transport/http/BackendAttempt.java
+++ b/transport/src/main/java/org/heatherreach/transport/http/BackendAttempt.java
@@ -244,7 +244,7 @@
             passOnNotice(response.responseHeaders());
         }
         if (kind == ResponseKind.SHED || kind == ResponseKind.MISDIRECTED) {
-            return drainRefusal(response, openConnection, kind);
+            return drainRefusal(response, openConnection, kind, echoedId != null);
         }
         if (statusCode < MIN_FINAL_STATUS) {
             guard.closeUntrusted();
@@ -303,8 +303,12 @@
         }
     }
 
+    /**
+     * Returns the failure of a refused request. The connection is kept only if the refusal carries the id of its request:
+     * a server that wrote another refusal once more could not be told from one that refuses the next request.
+     */
     private Publisher<CallerResponse> drainRefusal(
-            HttpClientResponse response, Connection openConnection, ResponseKind kind) {
+            HttpClientResponse response, Connection openConnection, ResponseKind kind, boolean hasId) {
         refusedByServer = true;
         BackendFailure failure = new BackendFailure(
                 kind == ResponseKind.SHED ? FailureKind.SHED : FailureKind.MISDIRECTED,
@@ -313,7 +317,7 @@
                         .getOrElse(DEFAULT_RETRY_AFTER_MILLIS));
         String length = response.responseHeaders().get(HttpHeaderNames.CONTENT_LENGTH);
         boolean isShort = length != null && length.length() <= MAX_DRAINED_LENGTH_DIGITS;
-        if (!isShort || !limits.reusesBackendConnections()) {
+        if (!isShort || !hasId || !limits.reusesBackendConnections()) {
             return discard(openConnection, failure);
         }
         return openConnection
--- a/transport/src/test/java/org/heatherreach/transport/http/ProxyFaultsTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/ProxyFaultsTest.java
@@ -2,11 +2,14 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -541,4 +544,42 @@
             assertThat(fixture.backends.get(0).chunks.get()).isLessThan(chunkCount / 10);
         }
     }
+
+    // Guards against "not run" for a request that a server runs: the server writes an earlier refusal once more on a
+    // kept
+    // connection, where it is read as the answer to the next request.
+    @Example
+    void takesNoRepeatedRefusalForTheAnswerToTheNextRequest() throws Exception {
+        String refusal = "HTTP/1.1 503 X\r\nRetry-After: 1\r\nBackend-Shed: true\r\nContent-Length: 0\r\n\r\n";
+        for (boolean echoesId : new boolean[] {false, true}) {
+            AtomicInteger runs = new AtomicInteger();
+            AtomicInteger told = new AtomicInteger();
+            Map<Socket, String> refusals = new ConcurrentHashMap<>();
+            try (ProxyFixture fixture = new ProxyFixture()
+                            .backend(call -> {
+                                String id = echoesId
+                                        ? "Heatherreach-Request-Id: "
+                                                + call.headers().get("heatherreach-request-id") + "\r\n"
+                                        : "";
+                                String earlier = refusals.putIfAbsent(
+                                        call.socket(), refusal.replace("Content-Length", id + "Content-Length"));
+                                if (earlier != null) {
+                                    runs.incrementAndGet();
+                                }
+                                call.send(refusals.get(call.socket()));
+                                return true;
+                            })
+                            .start();
+                    RawCaller caller = fixture.caller()) {
+                for (int i = 0; i < 20; i++) {
+                    if ("not-run".equals(caller.post("/", HELLO).outcome())) {
+                        told.incrementAndGet();
+                    }
+                }
+                int sent = fixture.backends.get(0).requests.get();
+                assertThat(told.get()).as("requests told not-run").isLessThanOrEqualTo(sent - runs.get());
+                assertThat(told.get()).isPositive();
+            }
+        }
+    }
 }
