--- a/daemon/src/test/java/org/heatherreach/daemon/site/ServerRegistryTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/site/ServerRegistryTest.java
@@ -68,8 +68,7 @@
     }
 
     // Guards against requests to a server that left, more than 3 s after the store came back: the poll that was to
-    // notice
-    // the return was itself lost, and the time to register again began only after that.
+    // notice the return was itself lost, and the time to register again began only after that.
     @Example
     void removesAServerInTimeAfterALateNoticeOfTheReturn() {
         registry.replace(new RangeResult(10, List.of(entry("a", "one 1 ready", 5), entry("b", "one 1 ready", 6))));
--- a/daemon/src/test/java/org/heatherreach/daemon/site/SiteSettingsFileTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/site/SiteSettingsFileTest.java
@@ -54,9 +54,8 @@
                 .containsExactlyInAnyOrder("keep", "front", "slak");
     }
 
-    // Guards against a daemon that does not start because a platform gives the bounds of the retry budget as fractions
-    // or
-    // leaves them empty. Fractions are rounded down, so that the fleet stays within the bounds.
+    // Guards against a daemon that does not start because a platform gives the bounds of the retry budget as
+    // fractions or leaves them empty. Fractions are rounded down, so that the fleet stays within the bounds.
     @Example
     void acceptsFractionsAndEmptyBounds() throws IOException {
         SiteSettings settings = read(VALID.replace("ratio = 0.2", "ratio = 0.128")
--- a/transport/src/test/java/org/heatherreach/transport/http/ContentCoalescerTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/ContentCoalescerTest.java
@@ -24,8 +24,7 @@
     private EmbeddedChannel channel = newChannel();
 
     // Guards against one write and one system call for each chunk of a few bytes, which keeps the event loop from
-    // serving
-    // any other connection.
+    // serving any other connection.
     @Example
     void passesTheTinyChunksOfOneReadOnTogether() {
         StringBuilder chunks = new StringBuilder();
--- a/transport/src/test/java/org/heatherreach/transport/http/EndlessResponseTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/EndlessResponseTest.java
@@ -83,8 +83,7 @@
     }
 
     // Guards against a body without end that is relayed for as long as the caller reads. After the deadline the
-    // caller's
-    // connection is reset, so that the answer can't be taken for a complete one.
+    // caller's connection is reset, so that the answer can't be taken for a complete one.
     @Example
     void endsABodyWithoutEndAfterTheDeadline() throws Exception {
         List<String[]> bodies = List.of(
@@ -126,8 +125,7 @@
     }
 
     // Guards against a body in tiny chunks that keeps the event loop busy until its deadline, while the requests of
-    // other
-    // callers wait past theirs: each chunk was written and flushed by itself.
+    // other callers wait past theirs: each chunk was written and flushed by itself.
     @Example
     void relaysTinyChunksInFewWrites() throws Exception {
         int chunkCount = 60_000;
--- a/transport/src/test/java/org/heatherreach/transport/http/ProxyFaultsTest.java
+++ b/transport/src/test/java/org/heatherreach/transport/http/ProxyFaultsTest.java
@@ -546,8 +546,7 @@
     }
 
     // Guards against "not run" for a request that a server runs: the server writes an earlier refusal once more on a
-    // kept
-    // connection, where it is read as the answer to the next request.
+    // kept connection, where it is read as the answer to the next request.
     @Example
     void takesNoRepeatedRefusalForTheAnswerToTheNextRequest() throws Exception {
         String refusal = "HTTP/1.1 503 X\r\nRetry-After: 1\r\nBackend-Shed: true\r\nContent-Length: 0\r\n\r\n";
