Keep no server that left because watches are cut after an outage

Change: only failures over half a second or more extend the time.

Measured: ServerRegistryTest.removesAServerAlthoughWatchesAreCutAfterAnOutage fails without the condition.

--- a/daemon/src/main/java/org/heatherreach/daemon/site/FollowedKeys.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/FollowedKeys.java
@@ -21,12 +21,15 @@
  */
 abstract class FollowedKeys implements KeyFollower.Listener {
     private static final Logger LOG = Logger.getLogger(FollowedKeys.class);
+    /** A shorter series of failures, such as a watch that was cut, keeps no owner from registering its key again. */
+    private static final long MIN_INTERRUPTION_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final String watched;
     private final ReregistrationTerms terms;
     private final LongSupplier nanoClock;
     private boolean storeFailing;
     private long lastResponseNanos;
+    private long firstFailureNanos;
     private long lastFailureNanos;
     /** No call that began before this time can have shown that the store is back. */
     private long earliestReturnNanos;
@@ -94,7 +97,8 @@
     /** Gives the owners of keys that can have expired in the outage time to register them again. */
     private void extendReregistration(long nowNanos, long outageNanos) {
         // Keys that expired in an earlier outage were to be registered again when this one began.
-        boolean interruptsReregistration = reregistrationDeadlineNanos - lastResponseNanos > 0;
+        boolean interruptsReregistration = reregistrationDeadlineNanos - lastResponseNanos > 0
+                && nowNanos - firstFailureNanos >= MIN_INTERRUPTION_NANOS;
         if (interruptsReregistration || outageNanos >= terms.minOutageNanos()) {
             long deadlineNanos = nowNanos + terms.reregistrationNanos();
             long limitNanos = earliestReturnNanos + terms.limitNanos();
@@ -109,6 +113,7 @@
         lastFailureNanos = nanoClock.getAsLong();
         if (!storeFailing) {
             storeFailing = true;
+            firstFailureNanos = lastFailureNanos;
             LOG.warnf("dependency=store state=lost watched=%s reason=\"%s\"", watched, error.reason());
         }
     }
--- a/daemon/src/test/java/org/heatherreach/daemon/site/ServerRegistryTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/site/ServerRegistryTest.java
@@ -103,6 +103,24 @@
         assertThat(offered.get("one")).containsExactly("b");
     }
 
+    // Guards against a server that left in an outage and is kept for as long as the store cuts one watch after another,
+    // because each cut gave it new time to register again.
+    @Example
+    void removesAServerAlthoughWatchesAreCutAfterAnOutage() {
+        registry.replace(new RangeResult(10, List.of(entry("a", "one 1 ready", 5), entry("b", "one 1 ready", 6))));
+        failStoreUntil(6000);
+        registry.deleted("servers/a", 12);
+        assertThat(offered.get("one")).containsExactly("a", "b");
+        for (int i = 0; i < 10; i++) {
+            nowNanos += 300 * NANOS_PER_MILLI;
+            registry.storeFailed(new KeyValueError.Unavailable("the watch was cut"));
+            nowNanos += 100 * NANOS_PER_MILLI;
+            registry.upToDate();
+            registry.removeExpired();
+        }
+        assertThat(offered.get("one")).containsExactly("b");
+    }
+
     // Guards against requests to a server whose registration ended while the store was available.
     @Example
     void removesAServerAtOnceWhileTheStoreIsAvailable() {
