Withdraw the record of a refused request that completed at a peer

Found by a failed run of StoredRefusalsTest.forgetsARemovedRequestEverywhere: a daemon at which a request completes before it has read the record removes nothing, and the daemon that wrote the key kept it, so the request would stay refused for ten minutes.

Change: the daemon that wrote the key deletes it when a peer reports that the request completed. The test waits until the second daemon has read the record; StoredRefusalsTest.withdrawsItsOwnRecordOfARequestThatCompletedAtAPeer is for the other case.

--- a/daemon/src/main/java/org/heatherreach/daemon/site/RefusedRequests.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/RefusedRequests.java
@@ -19,7 +19,7 @@
      */
     void add(ServiceId service, Fingerprint request, boolean firstHand);
 
-    /** Stops recording a request that a peer found to be harmless; the peer removes it from the record. */
+    /** Withdraws what this daemon has recorded, or is about to record, of a request that completed at a peer. */
     void cancel(Fingerprint request);
 
     /** Removes a request that completed normally. */
--- a/daemon/src/main/java/org/heatherreach/daemon/site/StoredRefusals.java
+++ b/daemon/src/main/java/org/heatherreach/daemon/site/StoredRefusals.java
@@ -54,6 +54,9 @@
     private final RandomGenerator random;
     private final Map<Fingerprint, ServiceId> servicesByRequest = new HashMap<>();
     private final Set<Fingerprint> unwritten = new HashSet<>();
+    /** The requests whose keys this daemon has written. */
+    private final Set<Fingerprint> written = new HashSet<>();
+
     private volatile Set<Fingerprint> snapshot = Set.of();
 
     /**
@@ -90,15 +93,20 @@
 
     @Override
     public synchronized void cancel(Fingerprint request) {
-        if (unwritten.remove(request)) {
+        boolean isOwn = written.remove(request);
+        if (unwritten.remove(request) || isOwn) {
             servicesByRequest.remove(request);
             updateSnapshot();
         }
+        if (isOwn) {
+            repeatUntilDone(() -> delete(request), Duration.ZERO);
+        }
     }
 
     @Override
     public synchronized void remove(Fingerprint request) {
         unwritten.remove(request);
+        written.remove(request);
         if (servicesByRequest.remove(request) != null) {
             updateSnapshot();
             // The key may exist even if this daemon has not read it yet, because another daemon may have written it.
@@ -124,17 +132,23 @@
             ServiceId service = new ServiceId(update.getService());
             for (Suspect suspect : update.getSuspectsList()) {
                 Fingerprint request = new Fingerprint(suspect.getFingerprint());
-                unwritten.remove(request);
-                if (entry.key().equals(keyOf(request)) && servicesByRequest.put(request, service) == null) {
-                    LOG.warnf("fingerprint=%s service=%s state=refused reason=recorded-in-store", request, service);
+                if (entry.key().equals(keyOf(request))) {
+                    applyRecorded(service, request);
                 }
             }
-            updateSnapshot();
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
             LOG.warnf("refused-request=%s state=skipped reason=\"%s\"", entry.key(), e.getMessage());
         }
     }
 
+    private void applyRecorded(ServiceId service, Fingerprint request) {
+        unwritten.remove(request);
+        if (servicesByRequest.put(request, service) == null) {
+            updateSnapshot();
+            LOG.warnf("fingerprint=%s service=%s state=refused reason=recorded-in-store", request, service);
+        }
+    }
+
     @Override
     void applyDeletion(String key, long revision) {
         List<Fingerprint> deleted = servicesByRequest.keySet().stream()
@@ -145,6 +159,7 @@
                 write(request, secondHandDelay());
             } else {
                 servicesByRequest.remove(request);
+                written.remove(request);
                 LOG.infof("fingerprint=%s state=no-longer-refused revision=%d", request, revision);
             }
         }
@@ -195,6 +210,7 @@
             return false;
         }
         unwritten.remove(request);
+        written.add(request);
         return true;
     }
 
--- a/daemon/src/test/java/org/heatherreach/daemon/site/StoredRefusalsTest.java
+++ b/daemon/src/test/java/org/heatherreach/daemon/site/StoredRefusalsTest.java
@@ -98,12 +98,26 @@
     @Example
     void forgetsARemovedRequestEverywhere() {
         first.add(SERVICE, REQUEST, true);
-        await(() -> store.values.size() == 1);
+        await(() -> second.contains(REQUEST));
         second.remove(REQUEST);
         await(() -> !first.contains(REQUEST) && !second.contains(REQUEST));
         assertThat(store.values).isEmpty();
     }
 
+    // Guards against a request that stays refused because the peer at which it completed had not read the record yet.
+    @Example
+    void withdrawsItsOwnRecordOfARequestThatCompletedAtAPeer() {
+        first.add(SERVICE, REQUEST, true);
+        await(() -> first.recordedCount() == 1);
+        await(() -> second.contains(REQUEST));
+        second.cancel(REQUEST);
+        assertThat(store.values).hasSize(1);
+        first.cancel(REQUEST);
+        await(() -> !second.contains(REQUEST));
+        assertThat(first.contains(REQUEST)).isFalse();
+        assertThat(store.values).isEmpty();
+    }
+
     // Guards against writing a request that a peer has cleared in the meantime.
     @Example
     void writesNoCancelledRequest() {
