--- a/review/standins-2/CrashCase.java
+++ b/review/standins-2/CrashCase.java
@@ -56,6 +56,11 @@
     /** Returns how long a server works on the crashing request until it crashes. */
     abstract long crashAfterMillis();
 
+    /** Returns whether the crashing request crashes servers in this run. */
+    boolean serversCrash() {
+        return Site.TROUBLE;
+    }
+
     /** Returns whether a crashed server falls silent, as with its machine, in place of closing its connections. */
     boolean isSilentCrash() {
         return false;
@@ -129,14 +134,14 @@
             long deadlineNanos = nowNanos + Long.parseLong(request.header("Heatherreach-Deadline-Ms")) * 1_000_000;
             boolean crashing = isCrashing(request);
             recordRun(id, requestId, crashing);
-            long endNanos = nowNanos + (crashing && Site.TROUBLE ? crashAfterMillis() : 100) * 1_000_000;
+            long endNanos = nowNanos + (crashing && serversCrash() ? crashAfterMillis() : 100) * 1_000_000;
             if (!work(socket, in, Math.min(endNanos, deadlineNanos))) {
                 return false;
             }
             if (endNanos - deadlineNanos > 0) {
                 Backend.answer(
                         socket.getOutputStream(), 504, requestId, "Heatherreach-Server-Signature: s\r\n", new byte[0]);
-            } else if (crashing && Site.TROUBLE) {
+            } else if (crashing && serversCrash()) {
                 crash(requestId);
                 return false;
             } else {
