--- a/review/standins-2/Site.java
+++ b/review/standins-2/Site.java
@@ -23,7 +23,7 @@
  * the record of the run.
  */
 final class Site implements AutoCloseable {
-    static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
+    static final boolean TROUBLE = !"0".equals(System.getProperty("trouble"));
 
     final Store store = new Store();
     final Map<String, String> bounds = new TreeMap<>();
